--- /dev/null
+++ b/core/coordination/batch/work.go
@@ -0,0 +1,160 @@
+package batch
+
+import (
+	"cowslipway/core/state/job"
+	"cowslipway/core/state/request"
+)
+
+// MaxAttempts bounds how often an item may fail before it ends as failed.
+const MaxAttempts = 3
+
+// maxPartBytes bounds the results in one write, so that they fit into one record of the store.
+const maxPartBytes = 900 << 10
+
+// Item is one line of a batch job's input.
+type Item struct {
+	Number     int // within its segment
+	CustomID   string
+	Service    string
+	Path       string
+	Body       []byte
+	Idempotent bool
+}
+
+// Result is the one outcome of an item.
+type Result struct {
+	Number    int
+	Succeeded bool
+	Line      []byte // as it stands in the output or the error file
+}
+
+// Verdict says what to do with an item after an attempt.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Again puts the item back.
+	Again Verdict = iota + 1
+	// Success ends the item with its answer.
+	Success
+	// Failure ends the item as failed.
+	Failure
+)
+
+// Work is a segment in the hands of its owner.
+type Work struct {
+	Segment job.Segment
+
+	total    int
+	attempts map[int]int
+	ended    map[int]bool // outcome known, committed or not
+	results  []Result     // not committed yet
+}
+
+// NewWork takes up a segment with its items. It returns the items that are still to be run; those that were
+// sent by an earlier owner and must not be sent again are in lost.
+func NewWork(segment job.Segment, items []Item) (work *Work, pending, lost []Item) {
+	work = &Work{Segment: segment, total: len(items), attempts: map[int]int{}, ended: map[int]bool{}}
+	for _, item := range items {
+		switch {
+		case segment.Finished.Has(item.Number):
+			work.ended[item.Number] = true
+		case !item.Idempotent && segment.Started.Has(item.Number):
+			lost = append(lost, item)
+		default:
+			pending = append(pending, item)
+		}
+	}
+	return work, pending, lost
+}
+
+// Judge takes the outcome of an attempt on item; status is that of the answer, where there is one.
+func (work *Work) Judge(item Item, outcome request.Outcome, status int) Verdict {
+	if work.ended[item.Number] {
+		return Failure // a late answer; Record drops it
+	}
+	switch {
+	case outcome.Disposition == request.Done && status < 300:
+		return Success
+	case outcome.Disposition == request.Done && status < 500:
+		return Failure // the same request would fail again
+	case outcome.Reason == request.ReasonPoison:
+		return Failure
+	case outcome.Disposition == request.NotRun:
+		return Again
+	case !item.Idempotent:
+		return Failure
+	case outcome.Reason == request.ReasonPreempted || outcome.Reason == request.ReasonCancelled:
+		return Again // the system's doing, not the item's
+	}
+	work.attempts[item.Number]++
+	if work.attempts[item.Number] >= MaxAttempts {
+		return Failure
+	}
+	return Again
+}
+
+// Record takes the outcome of an item; it reports false for one whose outcome is known already.
+func (work *Work) Record(result Result) (recorded bool) {
+	if work.ended[result.Number] {
+		return false
+	}
+	work.ended[result.Number] = true
+	work.results = append(work.results, result)
+	return true
+}
+
+// Complete reports whether every item has its outcome.
+func (work *Work) Complete() bool { return len(work.ended) == work.total }
+
+// Uncommitted returns the number of outcomes that are not in the store yet.
+func (work *Work) Uncommitted() int { return len(work.results) }
+
+// Checkpoint is a write of a segment's progress.
+type Checkpoint struct {
+	Segment job.Segment // as it will be
+	Part    job.Part    // where Results go; meaningless without any
+	Results []Result
+}
+
+// Checkpoint returns the write that commits the outcomes known so far and marks started items as sent.
+func (work *Work) Checkpoint(started ...int) Checkpoint {
+	next := work.Segment
+	if len(started) > 0 {
+		next.Started = next.Started.With(started...)
+	}
+	checkpoint := Checkpoint{Results: work.firstPart()}
+	if len(checkpoint.Results) > 0 {
+		checkpoint.Part = job.Part{Epoch: next.Epoch, Number: len(next.Parts)}
+		next.Parts = append(next.Parts[:len(next.Parts):len(next.Parts)], checkpoint.Part)
+	}
+	for _, result := range checkpoint.Results {
+		next.Finished = next.Finished.With(result.Number)
+		if result.Succeeded {
+			next.Counts.Completed++
+		} else {
+			next.Counts.Failed++
+		}
+	}
+	next.Done = work.Complete() && len(checkpoint.Results) == len(work.results)
+	checkpoint.Segment = next
+	return checkpoint
+}
+
+// firstPart returns the oldest uncommitted results that fit into one write, at least one.
+func (work *Work) firstPart() []Result {
+	size := 0
+	for i, result := range work.results {
+		size += len(result.Line)
+		if size > maxPartBytes && i > 0 {
+			return work.results[:i]
+		}
+	}
+	return work.results
+}
+
+// Committed takes a checkpoint that is in the store.
+func (work *Work) Committed(checkpoint Checkpoint) {
+	work.Segment = checkpoint.Segment
+	work.results = work.results[len(checkpoint.Results):]
+}
--- a/core/state/config/read.go
+++ b/core/state/config/read.go
@@ -14,9 +14,8 @@
 )
 
 const (
-	maxWeight       = 1e6
-	maxPerSecond    = 1e9
-	maxDocumentSize = 1 << 20 // bytes, the largest value of the platform's store
+	maxWeight    = 1e6
+	maxPerSecond = 1e9
 )
 
 var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
@@ -88,14 +87,33 @@
 	for _, name := range names {
 		reader.read(name, files[name])
 	}
+	if err = reader.result(); err != nil {
+		return Configuration{}, err
+	}
+	return reader.configuration.Indexed(), nil
+}
+
+// Check checks a declaration that does not come from files; the error is of type FieldErrors.
+func Check(configuration Configuration) (err error) {
+	data, err := json.Marshal(document{Services: configuration.Services, Accounts: configuration.Accounts, Rules: configuration.Rules})
+	if err != nil {
+		return FieldErrors{{File: "declaration", Path: "$", Message: err.Error()}}
+	}
+	reader := &reader{files: map[string]string{}}
+	reader.read("declaration", data)
+	return reader.result()
+}
+
+// result checks what spans the files and returns all mistakes.
+func (reader *reader) result() (err error) {
 	if len(reader.configuration.Services) == 0 {
 		reader.add(".", "$", "a declaration needs at least one service")
 	}
 	reader.checkReferences()
 	if len(reader.mistakes) > 0 {
-		return Configuration{}, reader.mistakes
+		return reader.mistakes
 	}
-	return reader.configuration.Indexed(), nil
+	return nil
 }
 
 func (reader *reader) add(file, path, format string, values ...any) {
@@ -103,10 +121,6 @@
 }
 
 func (reader *reader) read(file string, data []byte) {
-	if len(data) > maxDocumentSize {
-		reader.add(file, "$", "has %d bytes; at most %d are allowed", len(data), maxDocumentSize)
-		return
-	}
 	var document document
 	if err := DecodeStrict(data, &document); err != nil {
 		reader.add(file, "$", "%s", err)
--- /dev/null
+++ b/core/state/job/doc.go
@@ -0,0 +1,2 @@
+// Package job holds the records of batch jobs: files, jobs, segments and items.
+package job
--- /dev/null
+++ b/core/state/job/job.go
@@ -0,0 +1,147 @@
+package job
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"time"
+)
+
+// MaxSegmentItems and MaxSegmentBytes bound a segment, the unit of ownership and of writes to the store.
+const (
+	MaxSegmentItems = 512
+	MaxSegmentBytes = 1 << 20
+	MaxItems        = 1_000_000
+)
+
+// File is an uploaded file whose content lies in segments.
+type File struct {
+	ID       string    `json:"id"`
+	Account  string    `json:"account"`
+	Name     string    `json:"name"`
+	Bytes    int64     `json:"bytes"`
+	Items    int       `json:"items"`
+	Segments []int     `json:"segments"` // number of items in each
+	Upload   string    `json:"upload"`   // under which the segments lie
+	Created  time.Time `json:"created"`
+}
+
+// FileID names a file by its account and content, so that a file sent again is the same file.
+func FileID(account string, contentSHA256 []byte) string {
+	sum := sha256.Sum256(append([]byte(account+"\x00"), contentSHA256...))
+	return "file-" + hex.EncodeToString(sum[:16])
+}
+
+// Status is how far a job has come.
+type Status string
+
+// The states of a job, in the words of the OpenAI interface.
+const (
+	InProgress Status = "in_progress"
+	Completed  Status = "completed"
+	Cancelled  Status = "cancelled"
+)
+
+// Job is a batch job.
+type Job struct {
+	ID               string            `json:"id"`
+	Account          string            `json:"account"`
+	FileID           string            `json:"file_id"`
+	Upload           string            `json:"upload"`
+	Endpoint         string            `json:"endpoint"`
+	CompletionWindow string            `json:"completion_window"`
+	Metadata         map[string]string `json:"metadata,omitempty"`
+	Segments         []int             `json:"segments"` // number of items in each
+	Status           Status            `json:"status"`
+	Created          time.Time         `json:"created"`
+	Ended            time.Time         `json:"ended,omitzero"`
+	Counts           Counts            `json:"counts"` // final ones, once the job has ended
+}
+
+// WithEnd returns a copy of job that has ended.
+func (job Job) WithEnd(status Status, counts Counts, now time.Time) Job {
+	job.Status, job.Counts, job.Ended = status, counts, now
+	return job
+}
+
+// Items returns the number of items of job.
+func (job Job) Items() (items int) {
+	for _, count := range job.Segments {
+		items += count
+	}
+	return items
+}
+
+// FirstItem returns the number, within the job, of the first item of segment.
+func (job Job) FirstItem(segment int) (first int) {
+	for _, count := range job.Segments[:segment] {
+		first += count
+	}
+	return first
+}
+
+// ID names a job by its account and key, so that a job sent again is the same job.
+func ID(account, key string) string {
+	sum := sha256.Sum256([]byte(account + "\x00" + key))
+	return "batch_" + hex.EncodeToString(sum[:16])
+}
+
+// Counts are the numbers of items that have ended.
+type Counts struct {
+	Completed int `json:"completed"`
+	Failed    int `json:"failed"`
+}
+
+// Plus returns the sum of two counts.
+func (counts Counts) Plus(other Counts) Counts {
+	return Counts{Completed: counts.Completed + other.Completed, Failed: counts.Failed + other.Failed}
+}
+
+// Ended returns the number of items that have ended either way.
+func (counts Counts) Ended() int { return counts.Completed + counts.Failed }
+
+// Part is one record of results.
+type Part struct {
+	Epoch  int64 `json:"epoch"` // in which it was written
+	Number int   `json:"number"`
+}
+
+// Segment is the state of one segment: who works on it and which results count. A result that the record
+// does not name does not exist.
+type Segment struct {
+	Owner    string `json:"owner"` // incarnation of an entry
+	Epoch    int64  `json:"epoch"`
+	Started  Bits   `json:"started,omitempty"`  // non-idempotent items that may have been sent
+	Finished Bits   `json:"finished,omitempty"` // items whose outcome is committed
+	Parts    []Part `json:"parts,omitempty"`
+	Counts   Counts `json:"counts"`
+	Done     bool   `json:"done"`
+}
+
+// WithOwner returns a copy of segment that owner has taken over.
+func (segment Segment) WithOwner(owner string) Segment {
+	segment.Owner = owner
+	segment.Epoch++
+	return segment
+}
+
+// Bits is a set of item numbers within a segment.
+type Bits []byte
+
+// Has reports whether item is in the set.
+func (bits Bits) Has(item int) bool {
+	return item/8 < len(bits) && bits[item/8]&(1<<(item%8)) != 0
+}
+
+// With returns a copy of the set with items added.
+func (bits Bits) With(items ...int) Bits {
+	size := len(bits)
+	for _, item := range items {
+		size = max(size, item/8+1)
+	}
+	grown := make(Bits, size)
+	copy(grown, bits)
+	for _, item := range items {
+		grown[item/8] |= 1 << (item % 8)
+	}
+	return grown
+}
--- a/core/state/request/request.go
+++ b/core/state/request/request.go
@@ -73,6 +73,7 @@
 	ReasonTargetLost      Reason = "target_lost"
 	ReasonBrokenAnswer    Reason = "broken_answer"
 	ReasonStoreDown       Reason = "store_unavailable"
+	ReasonInProgress      Reason = "in_progress"
 )
 
 // Outcome is how one attempt ended.
--- a/core/state/runs/record.go
+++ b/core/state/runs/record.go
@@ -161,6 +161,14 @@
 	return true
 }
 
+// Unfinished reports whether an attempt is on record and has not ended.
+func (record *Record) Unfinished(attemptID string) bool {
+	record.mutex.Lock()
+	defer record.mutex.Unlock()
+	element, known := record.runs[attemptID]
+	return known && element.Value.(*Run).State != Ended
+}
+
 // goesBackTo reports whether an attempt with this identifier, had it run, would still be on record.
 func (record *Record) goesBackTo(attemptID string) bool {
 	if record.forgotten.IsZero() {
--- a/internal/fakeplatform/store.go
+++ b/internal/fakeplatform/store.go
@@ -95,10 +95,14 @@
 
 func (store *store) holds(compare platform.Compare) bool {
 	found, _ := store.keys.Get(platform.KeyValue{Key: compare.Key})
+	actual, wanted := found.Version, compare.Version
 	if compare.Target == "MOD" {
-		return found.ModRevision == compare.ModRevision
+		actual, wanted = found.ModRevision, compare.ModRevision
 	}
-	return found.Version == compare.Version
+	if compare.Result == "GREATER" {
+		return actual > wanted
+	}
+	return actual == wanted
 }
 
 func (store *store) apply(operation platform.RequestOp, revision int64) (response platform.ResponseOp) {
--- a/io/process/cli/commands.go
+++ b/io/process/cli/commands.go
@@ -39,6 +39,52 @@
 			return &demoCommand{process: process{ctx: ctx, cli: cli}}
 		},
 	},
+	{
+		name:  "apply",
+		short: "Put a declaration in force as a whole",
+		long:  "Reads every *.json file below a directory. Either all of it is in force afterwards or nothing has changed; an operator who was faster is shown with what changed (exit code 4).",
+		make:  func(ctx context.Context, cli *CLI) flags.Commander { return &applyCommand{server: newServer(ctx, cli)} },
+	},
+	{
+		name:  "diff",
+		short: "Show what a declaration would change",
+		long:  "Compares the files below a directory with the declaration in force.",
+		make:  func(ctx context.Context, cli *CLI) flags.Commander { return &diffCommand{server: newServer(ctx, cli)} },
+	},
+	{
+		name:  "get",
+		short: "Print the declaration in force",
+		long:  "Prints the store's word where the store is up, the entry's otherwise.",
+		make:  func(ctx context.Context, cli *CLI) flags.Commander { return &getCommand{server: newServer(ctx, cli)} },
+	},
+	{
+		name:  "status",
+		short: "Show which daemons are on which version",
+		long:  "Asks one entry for what it knows of the others.",
+		make: func(ctx context.Context, cli *CLI) flags.Commander {
+			return &statusCommand{server: newServer(ctx, cli)}
+		},
+	},
+	{
+		name:  "where",
+		short: "Tell where a request, a job or an item ran and what became of it",
+		long:  "Takes the identifier from Cowslipway-Request-Id, a batch identifier or BATCH.NUMBER for an item. Exit code 6 says that nothing is known.",
+		make:  func(ctx context.Context, cli *CLI) flags.Commander { return &whereCommand{server: newServer(ctx, cli)} },
+	},
+	{
+		name:  "cancel",
+		short: "Cancel a batch job of any account",
+		long:  "What is committed until then stays readable.",
+		make: func(ctx context.Context, cli *CLI) flags.Commander {
+			return &cancelCommand{server: newServer(ctx, cli)}
+		},
+	},
+	{
+		name:  "drain",
+		short: "Let a target daemon take no new work",
+		long:  "With --end it takes work again.",
+		make:  func(ctx context.Context, cli *CLI) flags.Commander { return &drainCommand{server: newServer(ctx, cli)} },
+	},
 	{
 		name:  "validate",
 		short: "Check a declaration without a server",
@@ -63,3 +109,7 @@
 		},
 	},
 }
+
+func newServer(ctx context.Context, cli *CLI) server {
+	return server{process: process{ctx: ctx, cli: cli}}
+}
--- /dev/null
+++ b/io/process/entry/batches.go
@@ -0,0 +1,194 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"cowslipway/core/state/config"
+	"cowslipway/core/state/job"
+	"cowslipway/core/state/request"
+	"cowslipway/io/protocol/caller"
+	"cowslipway/io/protocol/platform"
+)
+
+// createBatch accepts a job; it is acknowledged once its record and its input are in the store. The same
+// job sent again, with the same key or without one, is the same job.
+func (entry *Entry) createBatch(session *session) *caller.Error {
+	body, failure := entry.readBody(session, entry.Settings.MaxBodyBytes)
+	if failure != nil {
+		return failure
+	}
+	var wanted caller.CreateBatch
+	if err := config.DecodeStrict(body, &wanted); err != nil {
+		return caller.BadInput(http.StatusBadRequest, "invalid_json", "%s", err)
+	}
+	if !strings.HasPrefix(wanted.Endpoint, "/") {
+		return caller.BadInput(http.StatusBadRequest, "invalid_endpoint", "\"endpoint\" is %q; a path such as \"/v1/chat/completions\" is needed", wanted.Endpoint)
+	}
+	file, failure := entry.findFile(session, wanted.InputFileID)
+	if failure != nil {
+		return failure
+	}
+	key := session.iris.GetHeader(caller.IdempotencyKeyHeader)
+	if key == "" {
+		key = wanted.InputFileID + "\x00" + wanted.Endpoint
+	}
+	record := job.Job{
+		ID:               job.ID(session.account.Name, key),
+		Account:          session.account.Name,
+		FileID:           file.ID,
+		Upload:           file.Upload,
+		Endpoint:         wanted.Endpoint,
+		CompletionWindow: wanted.CompletionWindow,
+		Metadata:         wanted.Metadata,
+		Segments:         file.Segments,
+		Status:           job.InProgress,
+		Created:          time.Now().UTC(),
+	}
+	return entry.openJob(session, record)
+}
+
+func (entry *Entry) openJob(session *session, record job.Job) *caller.Error {
+	data, err := platform.Encode(platform.NewOperation(), record)
+	if err != nil {
+		return storeDown(request.NotRun)
+	}
+	owner, err := platform.Encode(platform.NewOperation(), record.Account)
+	if err != nil {
+		return storeDown(request.NotRun)
+	}
+	stored, err := createOnce(session.ctx, entry.store, platform.JobKey(record.Account, record.ID), record,
+		platform.Put(platform.OpenKey(record.ID), data),
+		platform.Put(platform.JobOwnerKey(record.ID), owner))
+	if err != nil {
+		return storeFailure(err)
+	}
+	if stored.FileID != record.FileID {
+		return caller.BadInput(http.StatusUnprocessableEntity, "idempotency_key_reused", "%s was used for another job", caller.IdempotencyKeyHeader)
+	}
+	return writeJSON(session, caller.NewBatch(stored, stored.Counts))
+}
+
+// findJob returns a job of the session's account with the counts known now.
+func (entry *Entry) findJob(session *session, id string) (found job.Job, counts job.Counts, failure *caller.Error) {
+	if entry.store == nil {
+		return found, counts, storeDown(request.NotRun)
+	}
+	record, err := platform.Read[job.Job](session.ctx, entry.store, platform.OtherCall, platform.JobKey(session.account.Name, id))
+	if err != nil {
+		return found, counts, storeDown(request.NotRun)
+	}
+	if record.Revision == 0 {
+		return found, counts, caller.BadInput(http.StatusNotFound, "unknown_batch", "there is no batch job %q", id)
+	}
+	if record.Value.Status != job.InProgress {
+		return record.Value, record.Value.Counts, nil
+	}
+	counts, err = entry.countItems(session.ctx, id)
+	if err != nil {
+		return found, counts, storeDown(request.NotRun)
+	}
+	return record.Value, counts, nil
+}
+
+// countItems sums up the committed outcomes of a job.
+func (entry *Entry) countItems(ctx context.Context, jobID string) (counts job.Counts, err error) {
+	answer, err := entry.store.List(ctx, platform.OtherCall, platform.SegmentsPrefix(jobID), "", 0, false)
+	if err != nil {
+		return counts, err
+	}
+	for _, kv := range answer.KVs {
+		counts = counts.Plus(decodeOr(kv, job.Segment{}).Counts)
+	}
+	return counts, nil
+}
+
+func (entry *Entry) getBatch(session *session) *caller.Error {
+	found, counts, failure := entry.findJob(session, session.iris.Params().Get("id"))
+	if failure != nil {
+		return failure
+	}
+	return writeJSON(session, caller.NewBatch(found, counts))
+}
+
+func (entry *Entry) listBatches(session *session) *caller.Error {
+	return listRecords(entry, session, platform.JobsPrefixOf(session.account.Name), func(record job.Job) (caller.Batch, string) {
+		return caller.NewBatch(record, record.Counts), record.ID
+	})
+}
+
+// cancelBatch ends a job; what is committed until then stays readable.
+func (entry *Entry) cancelBatch(session *session) *caller.Error {
+	found, _, failure := entry.findJob(session, session.iris.Params().Get("id"))
+	if failure != nil {
+		return failure
+	}
+	return entry.cancelJob(session, found)
+}
+
+const cancelAttempts = 3
+
+func (entry *Entry) cancelJob(session *session, found job.Job) *caller.Error {
+	for range cancelAttempts {
+		if found.Status != job.InProgress {
+			return writeJSON(session, caller.NewBatch(found, found.Counts))
+		}
+		open, exists, err := entry.store.Get(session.ctx, platform.CommitCall, platform.OpenKey(found.ID))
+		if err != nil {
+			return storeFailure(err)
+		}
+		if exists {
+			counts, err := entry.countItems(session.ctx, found.ID)
+			if err == nil {
+				err = entry.endJob(session.ctx, found, open.ModRevision, job.Cancelled, counts)
+			}
+			if err != nil && !errors.Is(err, platform.ErrConflict) {
+				return storeFailure(err)
+			}
+		}
+		record, err := platform.Read[job.Job](session.ctx, entry.store, platform.CommitCall, platform.JobKey(found.Account, found.ID))
+		if err != nil {
+			return storeFailure(err)
+		}
+		found = record.Value
+	}
+	return storeDown(request.NotRun)
+}
+
+// endJob writes the end of a job; from then on no commit of its segments succeeds. The key of a cancelled
+// job stays for a while, so that every entry and through them every target daemon hears of it.
+func (entry *Entry) endJob(ctx context.Context, found job.Job, revision int64, status job.Status, counts job.Counts) (err error) {
+	ended := found.WithEnd(status, counts, time.Now().UTC())
+	operation := platform.NewOperation()
+	data, err := platform.Encode(operation, ended)
+	if err != nil {
+		return err
+	}
+	key := platform.JobKey(found.Account, found.ID)
+	closing := platform.Delete(platform.OpenKey(found.ID))
+	if status == job.Cancelled {
+		closing = platform.Put(platform.OpenKey(found.ID), data)
+	}
+	txn := platform.TxnRequest{
+		Compare: []platform.Compare{platform.Unchanged(platform.OpenKey(found.ID), revision)},
+		Success: []platform.RequestOp{platform.Put(key, data), closing},
+	}
+	_, err = platform.Commit(ctx, entry.store, platform.CommitCall, txn, key, operation)
+	if err == nil && status == job.Cancelled {
+		time.AfterFunc(cancelledForget, func() { entry.forgetCancelled(context.WithoutCancel(ctx), found.ID) })
+	}
+	return err
+}
+
+// forgetCancelled deletes the key that told of a cancelled job.
+func (entry *Entry) forgetCancelled(ctx context.Context, jobID string) {
+	ctx, cancel := entry.storeContext(ctx)
+	defer cancel()
+	operation := platform.Delete(platform.OpenKey(jobID))
+	// If this fails, the next entry that starts finds the key and deletes it.
+	_, _ = entry.store.Txn(ctx, platform.OtherCall, platform.TxnRequest{Success: []platform.RequestOp{operation}})
+}
--- /dev/null
+++ b/io/process/entry/claimed.go
@@ -0,0 +1,266 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"cowslipway/core/coordination/retry"
+	"cowslipway/core/state/claim"
+	"cowslipway/core/state/request"
+	"cowslipway/io/protocol/caller"
+	"cowslipway/io/protocol/peer"
+	"cowslipway/io/protocol/platform"
+)
+
+const (
+	maxStoredAnswer = 256 << 10 // bytes
+	maxKeyBytes     = 256
+	endRetryBase    = 200 * time.Millisecond
+	endRetryLimit   = 5 * time.Second
+	endRetries      = 40
+	claimLifetime   = 24 * time.Hour
+	claimLeaseShare = 8 // a new lease for claims is taken after this part of the lifetime
+)
+
+// claimedCall is a non-idempotent call with a key, on its way through claim, attempt and end.
+type claimedCall struct {
+	entry    *Entry
+	call     *call
+	key      string // in the store
+	claim    claim.Claim
+	revision int64 // of the claim in the store, 0 before it exists
+}
+
+// serveClaimed runs a non-idempotent call at most once, however often and wherever it is sent.
+func (entry *Entry) serveClaimed(session *session, call *call, key string) *caller.Error {
+	if len(key) > maxKeyBytes {
+		return caller.BadInput(http.StatusBadRequest, "invalid_idempotency_key", "%s has more than %d characters", caller.IdempotencyKeyHeader, maxKeyBytes)
+	}
+	if entry.store == nil {
+		return caller.Refusal(request.Outcome{Disposition: request.NotRun, Reason: request.ReasonStoreDown})
+	}
+	digest := sha256.Sum256([]byte(call.service.Name + "\x00" + key))
+	claimed := &claimedCall{
+		entry: entry,
+		call:  call,
+		key:   platform.ClaimKey(call.account.Name, hex.EncodeToString(digest[:])),
+	}
+	found, err := platform.Read[claim.Claim](session.ctx, entry.store, platform.ClaimCall, claimed.key)
+	if err != nil {
+		return caller.Refusal(request.Outcome{Disposition: request.NotRun, Reason: request.ReasonStoreDown})
+	}
+	if found.Revision != 0 {
+		claimed.claim, claimed.revision = found.Value, found.Revision
+		if failure, answered := claimed.resume(session); answered {
+			return failure
+		}
+	}
+	return claimed.run(session)
+}
+
+// resume deals with a claim that exists; answered is false where the request is safe to run now.
+func (claimed *claimedCall) resume(session *session) (failure *caller.Error, answered bool) {
+	switch claimed.claim.Next(claimed.call.fingerprint) {
+	case claim.Mismatch:
+		return caller.BadInput(http.StatusUnprocessableEntity, "idempotency_key_reused", "%s was used for another request", caller.IdempotencyKeyHeader), true
+	case claim.Replay:
+		return claimed.replay(session), true
+	default:
+		fenced, reason := claimed.fence(session.ctx)
+		if fenced {
+			return nil, false
+		}
+		return caller.Refusal(request.Outcome{Disposition: request.MayHaveRun, Reason: reason}), true
+	}
+}
+
+// fence asks the daemon that was to run the request to make sure that it never will; otherwise it returns
+// what to tell the caller.
+func (claimed *claimedCall) fence(ctx context.Context) (fenced bool, reason request.Reason) {
+	link, ok := claimed.entry.fleet.Load().daemons[claimed.claim.Daemon]
+	if !ok {
+		return false, request.ReasonTargetLost
+	}
+	client := link.client.Load()
+	if client == nil {
+		return false, request.ReasonTargetLost
+	}
+	answer, err := client.Ask(ctx, peer.Ask{
+		Kind:        peer.AskFence,
+		RequestID:   claimed.claim.RequestID,
+		AttemptID:   claimed.claim.AttemptID,
+		Incarnation: claimed.claim.Incarnation,
+	})
+	switch {
+	case err != nil:
+		return false, request.ReasonTargetLost
+	case answer.Fenced:
+		return true, request.ReasonNone
+	case answer.Found:
+		return false, request.ReasonInProgress
+	}
+	return false, request.ReasonBrokenAnswer
+}
+
+// replay answers with what the claim holds.
+func (claimed *claimedCall) replay(session *session) *caller.Error {
+	found := claimed.claim
+	session.setHeader(caller.RequestIDHeader, found.RequestID)
+	session.setHeader(caller.TargetHeader, found.Target)
+	if found.Disposition != request.Done || found.Answer == nil {
+		outcome := request.Outcome{Disposition: found.Disposition, Reason: found.Reason}
+		if found.Disposition == request.Done {
+			return caller.BadInput(http.StatusConflict, "answer_not_kept", "the request was done; its answer was too large to be kept")
+		}
+		return caller.Refusal(outcome)
+	}
+	receiver := &wholeReceiver{status: found.Answer.Status, body: found.Answer.Body}
+	receiver.headers = []peer.Header{{Name: "Content-Type", Value: found.Answer.ContentType}}
+	session.setHeader(caller.DispositionHeader, found.Disposition.String())
+	receiver.write(session.iris.ResponseWriter())
+	return nil
+}
+
+// run claims one target after another until one has run the request, or none will.
+func (claimed *claimedCall) run(session *session) *caller.Error {
+	call, entry := claimed.call, claimed.entry
+	ctx, cancel := context.WithDeadline(session.ctx, call.expires)
+	defer cancel()
+	plan := &retry.Plan{MaxAttempts: entry.Settings.MaxAttempts, Expires: call.expires}
+	entry.budget.Earn()
+	receiver := &wholeReceiver{}
+	result := result{Outcome: request.Outcome{Disposition: request.NotRun, Reason: request.ReasonNoTarget}}
+	for {
+		view, refusal := entry.choose(call, plan)
+		if view == nil {
+			if plan.Attempts() == 0 {
+				result.Outcome = refusal
+			}
+			break
+		}
+		plan.Begin(view.name)
+		call.attemptID = request.NewID("attempt-")
+		if err := claimed.start(ctx, view); err != nil {
+			return claimed.notStarted(err)
+		}
+		result.target, result.place = view.name, view.place
+		result.Outcome, result.end = entry.attempt(ctx, call, view, receiver)
+		if !plan.Continue(time.Now(), result.Outcome, &entry.budget) {
+			break
+		}
+	}
+	result.attempts = plan.Attempts()
+	claimed.end(session.ctx, result.Outcome, receiver)
+	return entry.answerWhole(session, call, result, receiver)
+}
+
+// notStarted answers for a claim that could not be written: nothing was sent.
+func (claimed *claimedCall) notStarted(err error) *caller.Error {
+	outcome := request.Outcome{Disposition: request.NotRun, Reason: request.ReasonStoreDown}
+	if errors.Is(err, platform.ErrConflict) {
+		// The same request came in elsewhere at the same time; that one has the claim.
+		outcome = request.Outcome{Disposition: request.MayHaveRun, Reason: request.ReasonInProgress}
+	}
+	return caller.Refusal(outcome)
+}
+
+// start writes the claim for an attempt on view.
+func (claimed *claimedCall) start(ctx context.Context, view *targetView) (err error) {
+	defer func() { err = errors.Annotate(err, "claiming a request") }()
+	if claimed.revision == 0 {
+		claimed.claim = claim.Claim{
+			State:       claim.Started,
+			RequestID:   claimed.call.id,
+			Fingerprint: claimed.call.fingerprint,
+		}
+	}
+	hello := view.daemon.hello.Load()
+	claimed.claim = claimed.claim.WithAttempt(claimed.call.attemptID, view.name, hello.Name, hello.Incarnation)
+	claimed.claim.RequestID = claimed.call.id
+	return claimed.write(ctx)
+}
+
+// write puts the claim as it is now into the store, if it is still the one that was read or written last.
+func (claimed *claimedCall) write(ctx context.Context) (err error) {
+	operation := platform.NewOperation()
+	data, err := platform.Encode(operation, claimed.claim)
+	if err != nil {
+		return err
+	}
+	put := platform.Put(claimed.key, data)
+	put.Put.Lease = claimed.entry.claimLease.Load()
+	txn := platform.TxnRequest{
+		Compare: []platform.Compare{platform.Unchanged(claimed.key, claimed.revision)},
+		Success: []platform.RequestOp{put},
+	}
+	revision, err := platform.Commit(ctx, claimed.entry.store, platform.ClaimCall, txn, claimed.key, operation)
+	if err != nil {
+		return err
+	}
+	claimed.revision = revision
+	return nil
+}
+
+// end writes how the request ended, also when the caller is gone or the store is not reached for a while.
+func (claimed *claimedCall) end(ctx context.Context, outcome request.Outcome, receiver *wholeReceiver) {
+	if claimed.revision == 0 {
+		return
+	}
+	if outcome.Disposition == request.NotRun {
+		// The claim stays: the next one with the key fences the attempt and runs.
+		return
+	}
+	claimed.claim = claimed.claim.WithEnd(outcome, storedAnswer(receiver))
+	ctx = context.WithoutCancel(ctx)
+	err := claimed.write(ctx)
+	if err == nil || errors.Is(err, platform.ErrConflict) {
+		return
+	}
+	go claimed.endLater(ctx)
+}
+
+func storedAnswer(receiver *wholeReceiver) *claim.Answer {
+	if len(receiver.body) > maxStoredAnswer {
+		return nil
+	}
+	answer := &claim.Answer{Status: receiver.status, Body: receiver.body}
+	for _, header := range receiver.headers {
+		if header.Name == "Content-Type" {
+			answer.ContentType = header.Value
+		}
+	}
+	return answer
+}
+
+func (claimed *claimedCall) endLater(ctx context.Context) {
+	random := random()
+	for attempt := 1; attempt <= endRetries; attempt++ {
+		time.Sleep(retry.Backoff(random, endRetryBase, endRetryLimit, attempt))
+		err := claimed.write(ctx)
+		if err == nil || errors.Is(err, platform.ErrConflict) {
+			return
+		}
+	}
+	claimed.entry.Log.Error("the end of a claimed request could not be stored", zap.String("request_id", claimed.claim.RequestID))
+}
+
+// keepClaimLease takes a new lease for claims now and then: claims are forgotten after about a day.
+func (entry *Entry) keepClaimLease(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait := endRetryLimit
+		if id, err := entry.store.GrantLease(ctx, claimLifetime+claimLifetime/claimLeaseShare); err == nil {
+			entry.claimLease.Store(id)
+			wait = claimLifetime / claimLeaseShare
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+	}
+}
--- a/io/process/entry/control.go
+++ b/io/process/entry/control.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -25,10 +27,21 @@
 	now   time.Time
 	links map[string]*daemonLink // by address
 	beat  time.Time
+	tock  time.Time // of the last tick
+
+	batches batches
+	drained map[string]bool // daemons that operators want drained
 }
 
 func (entry *Entry) runControl(ctx context.Context) {
-	control := &control{entry: entry, ctx: ctx, links: map[string]*daemonLink{}}
+	control := &control{
+		entry:   entry,
+		ctx:     ctx,
+		now:     time.Now(),
+		links:   map[string]*daemonLink{},
+		batches: newBatches(),
+		drained: map[string]bool{},
+	}
 	ticker := time.NewTicker(controlPeriod)
 	defer ticker.Stop()
 	for {
@@ -45,25 +58,41 @@
 }
 
 func (control *control) tick() {
-	if control.now.Sub(control.beat) < heartbeatPeriod {
-		return
+	paused := !control.tock.IsZero() && control.now.Sub(control.tock) > pauseThreshold
+	control.tock = control.now
+	control.tickBatches(paused)
+	if control.now.Sub(control.beat) >= heartbeatPeriod {
+		control.heartbeat()
 	}
+}
+
+// heartbeat tells every target daemon that this entry lives, what waits here, and what is news.
+func (control *control) heartbeat() {
 	control.beat = control.now
-	backlog := control.entry.heartbeat()
-	backlog.Suspects, backlog.Poison = control.entry.suspects.takeNews()
+	suspects, poisoned := control.entry.suspects.takeNews()
+	if len(poisoned) > 0 {
+		go control.entry.publishPoison(poisoned)
+	}
+	cancelled := control.cancelledJobs()
 	for _, link := range control.links {
-		link.tell(backlog)
+		link.tell(peer.Backlog{
+			Version:   control.entry.configurations.Current().Version,
+			Services:  control.backlog(link.place),
+			Cancelled: cancelled,
+			Drain:     control.drained[link.name],
+			Suspects:  suspects,
+			Poison:    poisoned,
+		})
 	}
 }
 
-// heartbeat returns the message that keeps an entry's batch work alive at the target daemons.
-func (entry *Entry) heartbeat() peer.Backlog {
-	return peer.Backlog{Version: entry.configurations.Current().Version}
-}
-
-// publish makes a new snapshot of the targets that are connected.
+// publish makes a new snapshot of the targets that are connected and the entries that live.
 func (control *control) publish() {
-	published := &fleet{services: map[string][]*targetView{}, daemons: map[string]*daemonLink{}}
+	published := &fleet{
+		services: map[string][]*targetView{},
+		daemons:  map[string]*daemonLink{},
+		entries:  slices.Collect(maps.Values(control.batches.live)),
+	}
 	for _, link := range control.links {
 		if !link.connected {
 			continue
@@ -131,10 +160,10 @@
 
 func (event connectedEvent) apply(control *control) {
 	link := event.link
-	link.connected, link.name, link.views = true, event.hello.Name, event.views
+	link.connected, link.name, link.place, link.views = true, event.hello.Name, event.hello.Place, event.views
 	control.entry.Log.Info("target daemon is connected", zap.String("daemon", link.name), zap.String("target_place", event.hello.Place))
 	control.publish()
-	link.tell(control.entry.heartbeat())
+	control.heartbeat()
 }
 
 // lostEvent is a connection that has ended.
@@ -157,9 +186,8 @@
 
 func (configurationEvent) apply(control *control) {
 	control.publish()
-	backlog := control.entry.heartbeat()
 	for _, link := range control.links {
 		link.spread()
-		link.tell(backlog)
 	}
+	control.heartbeat()
 }
--- a/io/process/entry/dispatch.go
+++ b/io/process/entry/dispatch.go
@@ -20,6 +20,7 @@
 // call is one request on its way to a target.
 type call struct {
 	id          string
+	attemptID   string // of the next attempt; empty lets each attempt make its own
 	account     config.Account
 	service     config.Service
 	version     int64
@@ -35,6 +36,8 @@
 	weight      float64
 	places      []string // permitted, nearest first
 	expires     time.Time
+	grantID     uint64 // of a batch item
+	jobID       string // of a batch item
 }
 
 // receiver takes the answer to a call as it arrives.
@@ -139,9 +142,13 @@
 }
 
 func (entry *Entry) newAttempt(ctx context.Context, call *call, view *targetView) peer.Attempt {
+	attemptID := call.attemptID
+	if attemptID == "" {
+		attemptID = request.NewID("attempt-")
+	}
 	return peer.Attempt{
 		RequestID:   call.id,
-		AttemptID:   request.NewID("attempt-"),
+		AttemptID:   attemptID,
 		Version:     call.version,
 		Entry:       entry.Settings.Name,
 		Class:       call.class,
@@ -158,6 +165,8 @@
 		Weight:      call.weight,
 		Fingerprint: call.fingerprint,
 		TraceParent: telemetry.Parent(ctx),
+		GrantID:     call.grantID,
+		JobID:       call.jobID,
 	}
 }
 
--- a/io/process/entry/entry.go
+++ b/io/process/entry/entry.go
@@ -55,6 +55,8 @@
 	budget         retry.Budget
 	suspects       suspects
 	record         runs.Record
+	claimLease     atomic.Int64
+	lease          atomic.Int64 // of the entry's presence, 0 before it has one
 	metrics        metrics
 	inFlight       atomic.Int64
 	draining       atomic.Bool
--- /dev/null
+++ b/io/process/entry/files.go
@@ -0,0 +1,368 @@
+package entry
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"hash"
+	"io"
+	"mime/multipart"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"cowslipway/core/coordination/batch"
+	"cowslipway/core/state/job"
+	"cowslipway/core/state/request"
+	"cowslipway/io/protocol/caller"
+	"cowslipway/io/protocol/platform"
+)
+
+const (
+	maxFileBytes  = 512 << 20
+	maxFieldBytes = 1 << 10
+	maxListed     = 100
+	storeRetry    = 2 * time.Second
+)
+
+// storeDown is the true refusal where the store was not reached before anything was written.
+func storeDown(disposition request.Disposition) *caller.Error {
+	return caller.Refusal(request.Outcome{Disposition: disposition, Reason: request.ReasonStoreDown, RetryAfter: storeRetry})
+}
+
+// storeFailure tells what is known of a write that failed.
+func storeFailure(err error) *caller.Error {
+	if errors.Is(err, platform.ErrUnknown) {
+		return storeDown(request.MayHaveRun)
+	}
+	return storeDown(request.NotRun)
+}
+
+// uploadFile takes a batch file; it is acknowledged once all of it is in the store.
+func (entry *Entry) uploadFile(session *session) *caller.Error {
+	if entry.store == nil || !entry.store.Available() {
+		return storeDown(request.NotRun)
+	}
+	session.iris.Request().Body = http.MaxBytesReader(session.iris.ResponseWriter(), session.iris.Request().Body, maxFileBytes)
+	reader, err := session.iris.Request().MultipartReader()
+	if err != nil {
+		return caller.BadInput(http.StatusBadRequest, "invalid_upload", "a multipart/form-data body with \"purpose\" and \"file\" is needed")
+	}
+	purpose := ""
+	for {
+		part, err := reader.NextPart()
+		if err != nil {
+			return caller.BadInput(http.StatusBadRequest, "invalid_upload", "the part \"file\" is missing or the body ended early")
+		}
+		switch part.FormName() {
+		case "purpose":
+			text, _ := io.ReadAll(io.LimitReader(part, maxFieldBytes))
+			purpose = string(text)
+		case "file":
+			if purpose != "" && purpose != "batch" {
+				return caller.BadInput(http.StatusBadRequest, "invalid_purpose", "\"purpose\" is %q; only \"batch\" is allowed", purpose)
+			}
+			return entry.storeFile(session, part)
+		}
+	}
+}
+
+// upload is a file on its way into the store.
+type upload struct {
+	entry     *Entry
+	id        string
+	segmenter batch.Segmenter
+	digest    hash.Hash
+	bytes     int64
+	written   int
+}
+
+func (entry *Entry) storeFile(session *session, part *multipart.Part) *caller.Error {
+	upload := &upload{entry: entry, id: request.NewID("upload-"), digest: sha256.New()}
+	err := upload.read(session.ctx, part)
+	if err == nil && upload.segmenter.Items() == 0 {
+		return caller.BadInput(http.StatusBadRequest, "empty_file", "the file holds no items")
+	}
+	if err != nil {
+		upload.discard(session.ctx)
+		return uploadFailure(err)
+	}
+	file := job.File{
+		ID:       job.FileID(session.account.Name, upload.digest.Sum(nil)),
+		Account:  session.account.Name,
+		Name:     part.FileName(),
+		Bytes:    upload.bytes,
+		Items:    upload.segmenter.Items(),
+		Segments: upload.segmenter.Counts,
+		Upload:   upload.id,
+		Created:  time.Now().UTC(),
+	}
+	stored, err := createOnce(session.ctx, entry.store, platform.FileKey(file.Account, file.ID), file)
+	if err != nil {
+		return storeFailure(err)
+	}
+	if stored.Upload != upload.id {
+		upload.discard(session.ctx) // the same file was there already
+	}
+	return writeJSON(session, caller.NewFile(stored))
+}
+
+func uploadFailure(err error) *caller.Error {
+	var lineError *batch.LineError
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &lineError):
+		return caller.BadInput(http.StatusBadRequest, "invalid_line", "%s", lineError)
+	case errors.As(err, &tooLarge):
+		return caller.BadInput(http.StatusRequestEntityTooLarge, "file_too_large", "a file may have %d bytes", tooLarge.Limit)
+	case errors.Is(err, platform.ErrNotSent) || errors.Is(err, platform.ErrUnknown):
+		return storeDown(request.NotRun) // without its record the file does not exist
+	}
+	return caller.BadInput(http.StatusBadRequest, "invalid_upload", "the body ended early")
+}
+
+func (upload *upload) read(ctx context.Context, part io.Reader) (err error) {
+	lines := bufio.NewReaderSize(io.TeeReader(part, upload.digest), copyBytes)
+	for {
+		line, readErr := readLine(lines)
+		upload.bytes += int64(len(line))
+		full, err := upload.segmenter.Add(bytes.TrimRight(line, "\r\n"))
+		if err != nil {
+			return err
+		}
+		if err = upload.write(ctx, full); err != nil {
+			return err
+		}
+		if errors.Is(readErr, io.EOF) {
+			return upload.write(ctx, upload.segmenter.Rest())
+		}
+		if readErr != nil {
+			return readErr
+		}
+	}
+}
+
+const copyBytes = 64 << 10
+
+// readLine reads one line of bounded length; one that is longer is cut, so that the check refuses it.
+func readLine(reader *bufio.Reader) (line []byte, err error) {
+	for {
+		piece, err := reader.ReadSlice('\n')
+		if len(line) <= job.MaxSegmentBytes {
+			line = append(line, piece...)
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return line, err
+		}
+	}
+}
+
+func (upload *upload) write(ctx context.Context, segment []byte) (err error) {
+	if segment == nil {
+		return nil
+	}
+	put := platform.Put(platform.DataKey(upload.id, upload.written), compressor.EncodeAll(segment, nil))
+	upload.written++
+	// The key is this upload's alone, so writing it again after a lost answer does no harm.
+	for range 2 {
+		_, err = upload.entry.store.Txn(ctx, platform.CommitCall, platform.TxnRequest{Success: []platform.RequestOp{put}})
+		if !errors.Is(err, platform.ErrUnknown) {
+			return err
+		}
+	}
+	return err
+}
+
+// discard deletes what was written of a file that does not come to be.
+func (upload *upload) discard(ctx context.Context) {
+	if upload.written == 0 {
+		return
+	}
+	ctx, cancel := upload.entry.storeContext(context.WithoutCancel(ctx))
+	defer cancel()
+	operation := platform.DeletePrefix(platform.DataPrefix(upload.id))
+	_, _ = upload.entry.store.Txn(ctx, platform.OtherCall, platform.TxnRequest{Success: []platform.RequestOp{operation}})
+}
+
+// createOnce writes value under key if there is nothing, and returns what is there then.
+func createOnce[T any](ctx context.Context, store *platform.Store, key string, value T, also ...platform.RequestOp) (stored T, err error) {
+	operation := platform.NewOperation()
+	data, err := platform.Encode(operation, value)
+	if err != nil {
+		return value, err
+	}
+	txn := platform.TxnRequest{
+		Compare: []platform.Compare{platform.Absent(key)},
+		Success: append([]platform.RequestOp{platform.Put(key, data)}, also...),
+	}
+	_, err = platform.Commit(ctx, store, platform.CommitCall, txn, key, operation)
+	if !errors.Is(err, platform.ErrConflict) {
+		return value, err
+	}
+	found, err := platform.Read[T](ctx, store, platform.CommitCall, key)
+	return found.Value, err
+}
+
+func (entry *Entry) findFile(session *session, id string) (file job.File, failure *caller.Error) {
+	if entry.store == nil {
+		return file, storeDown(request.NotRun)
+	}
+	record, err := platform.Read[job.File](session.ctx, entry.store, platform.OtherCall, platform.FileKey(session.account.Name, id))
+	if err != nil {
+		return file, storeDown(request.NotRun)
+	}
+	if record.Revision == 0 {
+		return file, caller.BadInput(http.StatusNotFound, "unknown_file", "there is no file %q", id)
+	}
+	return record.Value, nil
+}
+
+func (entry *Entry) getFile(session *session) *caller.Error {
+	id := session.iris.Params().Get("id")
+	if jobID, _, isResult := resultFile(id); isResult {
+		found, counts, failure := entry.findJob(session, jobID)
+		if failure != nil {
+			return failure
+		}
+		shown := caller.NewFile(job.File{ID: id, Name: id + ".jsonl", Created: found.Created})
+		shown.Purpose = "batch_output"
+		if counts.Ended() == 0 {
+			shown.Status = "uploaded"
+		}
+		return writeJSON(session, shown)
+	}
+	file, failure := entry.findFile(session, id)
+	if failure != nil {
+		return failure
+	}
+	return writeJSON(session, caller.NewFile(file))
+}
+
+func (entry *Entry) listFiles(session *session) *caller.Error {
+	return listRecords(entry, session, platform.FilesPrefixOf(session.account.Name), func(file job.File) (caller.File, string) {
+		return caller.NewFile(file), file.ID
+	})
+}
+
+// listRecords answers with the records below prefix, a page at a time.
+func listRecords[R, T any](entry *Entry, session *session, prefix string, show func(R) (T, string)) *caller.Error {
+	if entry.store == nil {
+		return storeDown(request.NotRun)
+	}
+	limit, err := session.iris.URLParamInt64("limit")
+	if err != nil || limit < 1 || limit > maxListed {
+		limit = maxListed
+	}
+	after := session.iris.URLParam("after")
+	if after != "" {
+		after = prefix + after
+	}
+	answer, err := entry.store.List(session.ctx, platform.OtherCall, prefix, after, limit, false)
+	if err != nil {
+		return storeDown(request.NotRun)
+	}
+	list := caller.List[T]{Object: "list", Data: []T{}, HasMore: answer.More}
+	for _, kv := range answer.KVs {
+		record, err := platform.DecodeRecord[R](kv)
+		if err != nil {
+			continue
+		}
+		shown, id := show(record.Value)
+		list.Data = append(list.Data, shown)
+		if list.FirstID == "" {
+			list.FirstID = id
+		}
+		list.LastID = id
+	}
+	return writeJSON(session, list)
+}
+
+// resultFile tells whether id names the output or the error file of a job.
+func resultFile(id string) (jobID string, mark byte, ok bool) {
+	if jobID, ok = strings.CutPrefix(id, caller.OutputPrefix); ok {
+		return jobID, outputMark, true
+	}
+	if jobID, ok = strings.CutPrefix(id, caller.ErrorPrefix); ok {
+		return jobID, errorMark, true
+	}
+	return "", 0, false
+}
+
+func (entry *Entry) readFile(session *session) *caller.Error {
+	id := session.iris.Params().Get("id")
+	if jobID, mark, isResult := resultFile(id); isResult {
+		return entry.readResults(session, jobID, mark)
+	}
+	file, failure := entry.findFile(session, id)
+	if failure != nil {
+		return failure
+	}
+	session.iris.ContentType("application/jsonl")
+	for number := range file.Segments {
+		data, err := entry.readData(session.ctx, file.Upload, number)
+		if err != nil {
+			return entry.breakOff(session, number > 0)
+		}
+		_, _ = session.iris.Write(data)
+	}
+	return nil
+}
+
+// readResults streams the committed results of a job, a segment at a time.
+func (entry *Entry) readResults(session *session, jobID string, mark byte) *caller.Error {
+	found, _, failure := entry.findJob(session, jobID)
+	if failure != nil {
+		return failure
+	}
+	answer, err := entry.store.List(session.ctx, platform.OtherCall, platform.SegmentsPrefix(found.ID), "", 0, false)
+	if err != nil {
+		return storeDown(request.NotRun)
+	}
+	session.iris.ContentType("application/jsonl")
+	begun := false
+	for _, kv := range answer.KVs {
+		number, ok := segmentNumber(kv)
+		if !ok {
+			continue
+		}
+		for _, part := range decodeOr(kv, job.Segment{}).Parts {
+			if err = entry.readPart(session, found.ID, number, part, mark); err != nil {
+				return entry.breakOff(session, begun)
+			}
+			begun = true
+		}
+	}
+	return nil
+}
+
+func (entry *Entry) readPart(session *session, jobID string, number int, part job.Part, mark byte) (err error) {
+	kv, ok, err := entry.store.Get(session.ctx, platform.OtherCall, platform.ResultKey(jobID, number, part.Epoch, part.Number))
+	if err == nil && !ok {
+		err = errors.NotFoundf("results of segment %d", number)
+	}
+	if err != nil {
+		return err
+	}
+	lines, err := decompressor.DecodeAll(kv.Value, nil)
+	if err != nil {
+		return err
+	}
+	for line := range bytes.Lines(lines) {
+		if line[0] == mark {
+			_, _ = session.iris.Write(line[1:])
+		}
+	}
+	return nil
+}
+
+// breakOff ends an answer that can't be completed so that the caller does not take it for whole.
+func (entry *Entry) breakOff(_ *session, begun bool) *caller.Error {
+	if !begun {
+		return storeDown(request.NotRun)
+	}
+	entry.metrics.broken.Add(1)
+	panic(http.ErrAbortHandler)
+}
--- a/io/process/entry/fleet.go
+++ b/io/process/entry/fleet.go
@@ -12,6 +12,7 @@
 type fleet struct {
 	services map[string][]*targetView
 	daemons  map[string]*daemonLink // by name
+	entries  []Presence
 }
 
 // targetView is one target; its load and the work on it change in place.
--- /dev/null
+++ b/io/process/entry/items.go
@@ -0,0 +1,228 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"cowslipway/core/coordination/batch"
+	"cowslipway/core/state/job"
+	"cowslipway/core/state/request"
+	"cowslipway/io/protocol/caller"
+	"cowslipway/io/protocol/peer"
+)
+
+const itemTimeout = 10 * time.Minute
+
+// launch is an item that is about to be sent under a grant.
+type launch struct {
+	item  batch.Item
+	view  *targetView
+	grant uint64
+}
+
+// grantEvent is a target's permission to send batch items.
+type grantEvent struct {
+	view  *targetView
+	grant peer.Grant
+}
+
+func (event grantEvent) apply(control *control) {
+	if control.entry.draining.Load() {
+		return
+	}
+	for range event.grant.Slots {
+		queued, ok := control.dequeue(event.view)
+		if !ok {
+			return
+		}
+		control.launch(queued, launch{item: queued.item, view: event.view, grant: event.grant.ID})
+	}
+}
+
+// launch sends an item, after its mark if it must not run twice.
+func (control *control) launch(queued queuedItem, launch launch) {
+	segment := queued.segment
+	if !segment.verified {
+		control.enqueue(segment, queued.item)
+		return
+	}
+	if launch.item.Idempotent || segment.work.Segment.Started.Has(launch.item.Number) {
+		control.start(segment, launch)
+		return
+	}
+	segment.started = append(segment.started, launch.item.Number)
+	segment.launches = append(segment.launches, launch)
+	control.checkpointIfDue(segment)
+}
+
+// start runs an item on its target.
+func (control *control) start(segment *ownedSegment, launch launch) {
+	ctx, cancel := context.WithCancel(control.ctx)
+	segment.running[launch.item.Number] = cancel
+	go control.entry.runItem(ctx, segment, launch)
+}
+
+// itemID names the request of an item; operators find it by that.
+func itemID(open job.Job, segment, number int) string {
+	return fmt.Sprintf("%s.%d", open.ID, open.FirstItem(segment)+number)
+}
+
+func (entry *Entry) runItem(ctx context.Context, segment *ownedSegment, launch launch) {
+	event := itemEvent{segment: segment, launch: launch, receiver: &wholeReceiver{}}
+	call, failure := entry.itemCall(segment, launch)
+	if failure != nil {
+		event.failure = failure
+		entry.send(event)
+		return
+	}
+	ctx, cancel := context.WithDeadline(ctx, call.expires)
+	defer cancel()
+	event.outcome, event.end = entry.attempt(ctx, call, launch.view, event.receiver)
+	entry.send(event)
+}
+
+func (entry *Entry) itemCall(segment *ownedSegment, launch launch) (made *call, failure *caller.Error) {
+	open, item := segment.open.job, launch.item
+	current := entry.configurations.Current()
+	account, _ := current.Account(open.Account)
+	service, _ := current.Service(item.Service)
+	if !service.Permits(launch.view.place) || !account.MayRunIn(launch.view.place) {
+		return nil, caller.BadInput(http.StatusForbidden, "forbidden_place", "the place is not permitted any more")
+	}
+	return &call{
+		id:          itemID(open, segment.number, item.Number),
+		account:     account,
+		service:     service,
+		version:     current.Version,
+		class:       request.Batch,
+		method:      http.MethodPost,
+		path:        item.Path,
+		headers:     []peer.Header{{Name: "Content-Type", Value: "application/json"}},
+		body:        item.Body,
+		tokens:      itemTokens(item),
+		fingerprint: fingerprint(open.Account, item.Service, item.Path, item.Body),
+		idempotent:  item.Idempotent,
+		weight:      current.Weight(open.Account, item.Service),
+		expires:     time.Now().Add(itemTimeout),
+		grantID:     launch.grant,
+		jobID:       open.ID,
+	}, nil
+}
+
+func itemTokens(item batch.Item) int64 {
+	return int64(len(item.Body)/bytesPerToken) + max(1, gjson.GetBytes(item.Body, "max_tokens").Int())
+}
+
+// placesOf returns where an item may run.
+func (entry *Entry) placesOf(accountName string, item batch.Item) (places []string, failure *caller.Error) {
+	current := entry.configurations.Current()
+	account, known := current.Account(accountName)
+	service, ok := current.Service(item.Service)
+	if !known || !ok || !account.MayUse(item.Service) {
+		return nil, caller.BadInput(http.StatusNotFound, "unknown_service", "the service %q does not exist or the account may not use it", item.Service)
+	}
+	return entry.permittedPlaces(account, service, "")
+}
+
+// itemEvent is the end of an attempt on an item.
+type itemEvent struct {
+	segment  *ownedSegment
+	launch   launch
+	outcome  request.Outcome
+	end      peer.End
+	receiver *wholeReceiver
+	failure  *caller.Error // where nothing was sent
+}
+
+func (event itemEvent) apply(control *control) {
+	segment, item := event.segment, event.launch.item
+	if event.end.Grant.Slots > 0 {
+		grantEvent{view: event.launch.view, grant: event.end.Grant}.apply(control)
+	}
+	if cancel, ok := segment.running[item.Number]; ok {
+		cancel()
+		delete(segment.running, item.Number)
+	}
+	if segment.dropped {
+		return
+	}
+	if event.failure != nil {
+		// The configuration has changed: where the item may run now is looked up anew.
+		control.enqueue(segment, item)
+		control.checkpointIfDue(segment)
+		return
+	}
+	switch segment.work.Judge(item, event.outcome, event.receiver.status) {
+	case batch.Again:
+		control.enqueue(segment, item)
+	case batch.Success:
+		segment.work.Record(doneResult(segment.open.job, segment.number, item, event.receiver, true))
+	case batch.Failure:
+		segment.work.Record(control.failure(event))
+	}
+	control.checkpointIfDue(segment)
+}
+
+func (control *control) failure(event itemEvent) batch.Result {
+	segment, item := event.segment, event.launch.item
+	if event.outcome.Disposition == request.Done {
+		return doneResult(segment.open.job, segment.number, item, event.receiver, false)
+	}
+	return failedResult(segment.open.job, segment.number, item, caller.Refusal(event.outcome))
+}
+
+// resultLine is one line of an output or error file of the OpenAI interface.
+type resultLine struct {
+	ID       string          `json:"id"`
+	CustomID string          `json:"custom_id"`
+	Response *resultResponse `json:"response"`
+	Error    *resultError    `json:"error"`
+}
+
+type resultResponse struct {
+	StatusCode int             `json:"status_code"`
+	RequestID  string          `json:"request_id"`
+	Body       json.RawMessage `json:"body"`
+}
+
+type resultError struct {
+	Code    string `json:"code"`
+	Message string `json:"message"`
+}
+
+func newResult(open job.Job, segment int, item batch.Item, line resultLine, succeeded bool) batch.Result {
+	line.ID, line.CustomID = itemID(open, segment, item.Number), item.CustomID
+	data, err := json.Marshal(line)
+	if err != nil {
+		// Only the answer's body can be at fault.
+		line.Response = nil
+		line.Error = &resultError{Code: "invalid_answer", Message: "the answer is not valid JSON"}
+		data, _ = json.Marshal(line)
+		succeeded = false
+	}
+	return batch.Result{Number: item.Number, Succeeded: succeeded, Line: data}
+}
+
+func doneResult(open job.Job, segment int, item batch.Item, receiver *wholeReceiver, succeeded bool) batch.Result {
+	body := receiver.body
+	if !json.Valid(body) {
+		body, _ = json.Marshal(string(body))
+	}
+	response := &resultResponse{StatusCode: receiver.status, RequestID: itemID(open, segment, item.Number), Body: body}
+	return newResult(open, segment, item, resultLine{Response: response}, succeeded)
+}
+
+func failedResult(open job.Job, segment int, item batch.Item, failure *caller.Error) batch.Result {
+	return newResult(open, segment, item, resultLine{Error: &resultError{Code: failure.Code, Message: failure.Message}}, false)
+}
+
+// lostResult ends a non-idempotent item that an earlier owner may have sent.
+func lostResult(open job.Job, segment int, item batch.Item) batch.Result {
+	outcome := request.Outcome{Disposition: request.MayHaveRun, Reason: request.ReasonTargetLost}
+	return failedResult(open, segment, item, caller.Refusal(outcome))
+}
--- a/io/process/entry/link.go
+++ b/io/process/entry/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -35,6 +36,7 @@
 
 	// The fields below belong to the control goroutine.
 	name      string
+	place     string
 	connected bool
 	views     map[string]*targetView
 }
@@ -167,6 +169,11 @@
 			view.see(load)
 		}
 	}
+	for _, grant := range report.Grants {
+		if view, ok := views[grant.Target]; ok {
+			link.entry.send(grantEvent{view: view, grant: grant})
+		}
+	}
 	link.entry.suspects.learn(report.Suspects, report.Poison)
 	link.spread()
 }
@@ -217,7 +224,7 @@
 		entry.send(vmsEvent{vms: static})
 		return
 	}
-	client := entry.listClient()
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
 	ticker := time.NewTicker(listPeriod)
 	defer ticker.Stop()
 	for {
--- /dev/null
+++ b/io/process/entry/live.go
@@ -0,0 +1,182 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cowslipway/core/state/job"
+	"cowslipway/io/protocol/operator"
+	"cowslipway/io/protocol/platform"
+)
+
+const (
+	leaseLifetime  = 10 * time.Second
+	leaseRenewal   = 3 * time.Second
+	poisonLifetime = 24 * time.Hour
+)
+
+// Presence is what an entry tells of itself in the store, under its lease.
+type Presence struct {
+	Name    string `json:"name"`
+	Place   string `json:"place"`
+	Version int64  `json:"version"` // of its configuration
+}
+
+// startStore begins what needs the platform's key-value service.
+func (entry *Entry) startStore(ctx context.Context) {
+	if entry.store == nil {
+		return
+	}
+	go entry.follow(ctx)
+	go entry.keepPresence(ctx)
+	go entry.keepClaimLease(ctx)
+}
+
+// follow keeps up with everything below the live prefix, in one watch.
+func (entry *Entry) follow(ctx context.Context) {
+	entry.store.Follow(ctx, platform.LivePrefix, func(found []platform.KeyValue) {
+		entry.send(resetEvent{})
+		for _, kv := range found {
+			entry.learnLive(ctx, kv, false)
+		}
+	}, func(events []platform.Event) {
+		for _, event := range events {
+			entry.learnLive(ctx, event.KV, event.Deleted())
+		}
+	})
+}
+
+// learnLive takes one key below the live prefix.
+func (entry *Entry) learnLive(ctx context.Context, kv platform.KeyValue, deleted bool) {
+	key := string(kv.Key)
+	name := platform.LastName(key)
+	switch {
+	case key == platform.PointerKey:
+		if !deleted {
+			entry.adoptPointer(ctx, kv)
+		}
+	case strings.HasPrefix(key, platform.EntriesPrefix):
+		entry.send(presenceEvent{incarnation: name, gone: deleted, presence: decodeOr(kv, Presence{})})
+	case strings.HasPrefix(key, platform.OpenPrefix):
+		if deleted {
+			entry.send(jobClosedEvent{jobID: name})
+			return
+		}
+		entry.send(jobOpenEvent{job: decodeOr(kv, job.Job{}), revision: kv.ModRevision})
+	case strings.HasPrefix(key, platform.PoisonPrefix):
+		if fingerprint, err := strconv.ParseUint(name, 16, 64); err == nil && !deleted {
+			entry.suspects.learn(nil, []uint64{fingerprint})
+		}
+	case strings.HasPrefix(key, platform.DrainPrefix):
+		entry.send(drainDaemonEvent{daemon: name, ended: deleted})
+	}
+}
+
+// decodeOr reads a record; one that can't be read counts as fallback.
+func decodeOr[T any](kv platform.KeyValue, fallback T) T {
+	if len(kv.Value) == 0 {
+		return fallback
+	}
+	var record platform.Record[T]
+	if json.Unmarshal(kv.Value, &record) != nil {
+		return fallback
+	}
+	return record.Value
+}
+
+func (entry *Entry) adoptPointer(ctx context.Context, kv platform.KeyValue) {
+	pointer := decodeOr(kv, operator.Pointer{})
+	if pointer.Version <= entry.configurations.Current().Version {
+		return
+	}
+	configuration, err := operator.ReadVersion(ctx, entry.store, pointer.Version)
+	if err != nil {
+		entry.Log.Warn("configuration can't be read", zap.Int64("version", pointer.Version), zap.Error(err))
+		return
+	}
+	if entry.configurations.Adopt(configuration) {
+		entry.inForce(configuration.Version)
+	}
+}
+
+// keepPresence keeps the entry's lease alive, and its record under it. When the lease was lost, the entry
+// comes back under a new one: what another has taken over meanwhile is found out by compare-and-swap.
+func (entry *Entry) keepPresence(ctx context.Context) {
+	var lease, version int64
+	ticker := time.NewTicker(leaseRenewal)
+	defer ticker.Stop()
+	for {
+		lease, version = entry.renew(ctx, lease, version)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// renew returns the lease that is held now, 0 for none, and the version that the record under it tells.
+func (entry *Entry) renew(ctx context.Context, lease, told int64) (held, version int64) {
+	if lease != 0 {
+		alive, err := entry.store.KeepLease(ctx, lease)
+		if err != nil {
+			return lease, told
+		}
+		if !alive {
+			lease = 0
+		}
+	}
+	current := entry.configurations.Current().Version
+	if lease != 0 && told == current {
+		return lease, told
+	}
+	if lease == 0 {
+		granted, err := entry.store.GrantLease(ctx, leaseLifetime)
+		if err != nil {
+			return 0, 0
+		}
+		lease = granted
+	}
+	presence := Presence{Name: entry.Settings.Name, Place: entry.Settings.Place, Version: current}
+	data, err := platform.Encode(platform.NewOperation(), presence)
+	if err != nil {
+		return lease, told
+	}
+	put := platform.Put(platform.EntryKey(entry.incarnation), data)
+	put.Put.Lease = lease
+	if _, err = entry.store.Txn(ctx, platform.LeaseCall, platform.TxnRequest{Success: []platform.RequestOp{put}}); err != nil {
+		return lease, told
+	}
+	entry.lease.Store(lease)
+	return lease, current
+}
+
+// publishPoison stores verdicts, so that entries that start later know them too.
+func (entry *Entry) publishPoison(fingerprints []uint64) {
+	if entry.store == nil || len(fingerprints) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), leaseLifetime)
+	defer cancel()
+	lease, err := entry.store.GrantLease(ctx, poisonLifetime)
+	if err != nil {
+		return
+	}
+	var puts []platform.RequestOp
+	for _, fingerprint := range fingerprints {
+		data, err := platform.Encode(platform.NewOperation(), Presence{Name: entry.Settings.Name})
+		if err != nil {
+			return
+		}
+		put := platform.Put(platform.PoisonKey(fingerprint), data)
+		put.Put.Lease = lease
+		puts = append(puts, put)
+	}
+	// Other daemons hear of the verdict from this one all the same, so a failure loses little.
+	_, _ = entry.store.Txn(ctx, platform.OtherCall, platform.TxnRequest{Success: puts})
+}
--- /dev/null
+++ b/io/process/entry/operate.go
@@ -0,0 +1,262 @@
+package entry
+
+import (
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+
+	"github.com/juju/errors"
+	"github.com/kataras/iris/v12"
+
+	"cowslipway/core/state/config"
+	"cowslipway/core/state/job"
+	"cowslipway/core/state/request"
+	"cowslipway/io/protocol/caller"
+	"cowslipway/io/protocol/operator"
+	"cowslipway/io/protocol/peer"
+	"cowslipway/io/protocol/platform"
+)
+
+const maxDeclarationBytes = 16 << 20
+
+func (entry *Entry) addOperatorRoutes(app *iris.Application) {
+	app.Get("/operator/v1/configuration", entry.operated(entry.getConfiguration))
+	app.Post("/operator/v1/configuration", entry.operated(entry.applyConfiguration))
+	app.Get("/operator/v1/status", entry.operated(entry.status))
+	app.Get("/operator/v1/where/{id}", entry.operated(entry.where))
+	app.Post("/operator/v1/jobs/{account}/{id}/cancel", entry.operated(entry.cancelAnyJob))
+	app.Post("/operator/v1/daemons/{name}/drain", entry.operated(entry.drainDaemon))
+	app.Delete("/operator/v1/daemons/{name}/drain", entry.operated(entry.drainDaemon))
+}
+
+// operated lets operators through: accounts marked so, and the keys in the settings, which work before a
+// first configuration is in force.
+func (entry *Entry) operated(serve func(*session) *caller.Error) iris.Handler {
+	return func(ctx iris.Context) {
+		session := &session{ctx: ctx.Request().Context(), iris: ctx, id: request.NewID("req-"), configuration: entry.configurations.Current()}
+		session.setHeader(caller.RequestIDHeader, session.id)
+		failure := entry.identifyOperator(session)
+		if failure == nil {
+			failure = serve(session)
+		}
+		if failure != nil {
+			entry.fail(ctx.ResponseWriter(), failure)
+		}
+	}
+}
+
+func (entry *Entry) identifyOperator(session *session) *caller.Error {
+	key, _ := strings.CutPrefix(session.iris.GetHeader("Authorization"), "Bearer ")
+	digest := config.KeyDigest(key)
+	for _, known := range entry.Settings.OperatorKeys {
+		if known == digest {
+			return nil
+		}
+	}
+	account, ok := session.configuration.AccountByKey(key)
+	if !ok || !account.Operator {
+		return caller.BadInput(http.StatusForbidden, "not_an_operator", "the API key is not an operator's")
+	}
+	return nil
+}
+
+func (entry *Entry) getConfiguration(session *session) *caller.Error {
+	current := entry.configurations.Current()
+	if entry.store != nil {
+		// What operators base a change on is the store's word, not this entry's.
+		if stored, _, err := operator.ReadCurrent(session.ctx, entry.store); err == nil {
+			current = stored
+		}
+	}
+	return writeJSON(session, current)
+}
+
+func (entry *Entry) applyConfiguration(session *session) *caller.Error {
+	body, failure := entry.readBody(session, maxDeclarationBytes)
+	if failure != nil {
+		return failure
+	}
+	var wanted operator.ApplyRequest
+	if err := config.DecodeStrict(body, &wanted); err != nil {
+		return caller.BadInput(http.StatusBadRequest, "invalid_json", "%s", err)
+	}
+	if err := config.Check(wanted.Configuration); err != nil {
+		return caller.BadInput(http.StatusUnprocessableEntity, "invalid_declaration", "%s", err)
+	}
+	if wanted.Operation == "" {
+		return caller.BadInput(http.StatusBadRequest, "missing_operation", "\"operation\" is missing; it names the change when it is sent again")
+	}
+	if entry.store == nil {
+		return storeDown(request.NotRun)
+	}
+	version, err := operator.Apply(session.ctx, entry.store, wanted.Base, wanted.Configuration, wanted.Operation)
+	switch {
+	case errors.Is(err, operator.ErrRaced):
+		return entry.conflict(session, wanted.Base)
+	case errors.Is(err, operator.ErrTooLarge):
+		return caller.BadInput(http.StatusRequestEntityTooLarge, "declaration_too_large", "%s", err)
+	case err != nil:
+		return storeFailure(err)
+	}
+	if entry.configurations.Adopt(wanted.Configuration.WithVersion(version).Indexed()) {
+		entry.inForce(version)
+	}
+	return writeJSON(session, operator.ApplyAnswer{Version: version})
+}
+
+// conflict shows the operator who lost a race what the other one changed.
+func (entry *Entry) conflict(session *session, base int64) *caller.Error {
+	current, _, err := operator.ReadCurrent(session.ctx, entry.store)
+	if err != nil {
+		return storeDown(request.NotRun)
+	}
+	seen := config.Configuration{Version: base}
+	if base > 0 {
+		if seen, err = operator.ReadVersion(session.ctx, entry.store, base); err != nil && !errors.Is(err, errors.NotFound) {
+			return storeDown(request.NotRun)
+		}
+	}
+	session.iris.StatusCode(http.StatusConflict)
+	return writeJSON(session, operator.ApplyAnswer{Version: current.Version, Conflict: true, Diff: config.Diff(seen, current).String()})
+}
+
+func (entry *Entry) status(session *session) *caller.Error {
+	fleet := entry.fleet.Load()
+	answer := operator.StatusAnswer{Version: entry.configurations.Current().Version}
+	if entry.store != nil {
+		answer.StoreUp, answer.StoreCall = entry.store.Available(), entry.store.Calls()
+	}
+	for _, presence := range fleet.entries {
+		answer.Daemons = append(answer.Daemons, operator.Daemon{Name: presence.Name, Role: platform.EntryRole, Place: presence.Place, Version: presence.Version})
+	}
+	for name, link := range fleet.daemons {
+		answer.Daemons = append(answer.Daemons, operator.Daemon{
+			Name:    name,
+			Role:    platform.TargetRole,
+			Place:   link.hello.Load().Place,
+			Version: link.version.Load(),
+			Leaving: link.leaving.Load(),
+		})
+	}
+	sort.Slice(answer.Daemons, func(i, j int) bool { return answer.Daemons[i].Name < answer.Daemons[j].Name })
+	return writeJSON(session, answer)
+}
+
+// where answers from this entry's record, from the target daemons' and from the records of jobs.
+func (entry *Entry) where(session *session) *caller.Error {
+	answer := operator.WhereAnswer{ID: session.iris.Params().Get("id"), Runs: []peer.Run{}}
+	for _, run := range entry.record.Of(answer.ID) {
+		answer.Runs = append(answer.Runs, peer.RunOf(run, entry.Settings.Name))
+	}
+	answer.Runs = append(answer.Runs, entry.askAll(session, answer.ID)...)
+	answer.Job = entry.whereJob(session, answer.ID)
+	if len(answer.Runs) == 0 && answer.Job == nil {
+		return caller.BadInput(http.StatusNotFound, "unknown_id", "nothing is known of %q here", answer.ID)
+	}
+	sort.Slice(answer.Runs, func(i, j int) bool { return answer.Runs[i].Started.Before(answer.Runs[j].Started) })
+	return writeJSON(session, answer)
+}
+
+// askAll asks every target daemon that is connected.
+func (entry *Entry) askAll(session *session, id string) (runs []peer.Run) {
+	var group sync.WaitGroup
+	var mutex sync.Mutex
+	for _, link := range entry.fleet.Load().daemons {
+		client := link.client.Load()
+		if client == nil {
+			continue
+		}
+		group.Go(func() {
+			answer, err := client.Ask(session.ctx, peer.Ask{Kind: peer.AskWhere, RequestID: id})
+			if err != nil {
+				return
+			}
+			mutex.Lock()
+			defer mutex.Unlock()
+			runs = append(runs, answer.Runs...)
+		})
+	}
+	group.Wait()
+	return runs
+}
+
+// whereJob tells how far the job called id has come, or the job of the item called id.
+func (entry *Entry) whereJob(session *session, id string) *operator.JobState {
+	jobID, itemNumber, isItem := strings.Cut(id, ".")
+	if entry.store == nil || !strings.HasPrefix(jobID, "batch_") {
+		return nil
+	}
+	account, err := platform.Read[string](session.ctx, entry.store, platform.OtherCall, platform.JobOwnerKey(jobID))
+	if err != nil || account.Revision == 0 {
+		return nil
+	}
+	record, err := platform.Read[job.Job](session.ctx, entry.store, platform.OtherCall, platform.JobKey(account.Value, jobID))
+	if err != nil || record.Revision == 0 {
+		return nil
+	}
+	return entry.jobState(session, record.Value, itemNumber, isItem)
+}
+
+func (entry *Entry) jobState(session *session, found job.Job, itemNumber string, isItem bool) *operator.JobState {
+	counts := found.Counts
+	if found.Status == job.InProgress {
+		counts, _ = entry.countItems(session.ctx, found.ID)
+	}
+	state := &operator.JobState{Status: string(found.Status), Total: found.Items(), Done: counts.Completed, Failed: counts.Failed}
+	number, err := strconv.Atoi(itemNumber)
+	if !isItem || err != nil || number < 0 || number >= found.Items() {
+		return state
+	}
+	for number >= found.Segments[state.Segment] {
+		number -= found.Segments[state.Segment]
+		state.Segment++
+	}
+	record, err := platform.Read[job.Segment](session.ctx, entry.store, platform.OtherCall, platform.SegmentKey(found.ID, state.Segment))
+	if err != nil {
+		return state
+	}
+	state.Owner, state.Outcome = record.Value.Owner, "pending"
+	if record.Value.Finished.Has(number) {
+		state.Outcome = "committed"
+	}
+	return state
+}
+
+func (entry *Entry) cancelAnyJob(session *session) *caller.Error {
+	if entry.store == nil {
+		return storeDown(request.NotRun)
+	}
+	params := session.iris.Params()
+	record, err := platform.Read[job.Job](session.ctx, entry.store, platform.CommitCall, platform.JobKey(params.Get("account"), params.Get("id")))
+	if err != nil {
+		return storeDown(request.NotRun)
+	}
+	if record.Revision == 0 {
+		return caller.BadInput(http.StatusNotFound, "unknown_batch", "there is no batch job %q of account %q", params.Get("id"), params.Get("account"))
+	}
+	return entry.cancelJob(session, record.Value)
+}
+
+// drainDaemon records that a target daemon is to be drained, or with DELETE that it is not any more.
+func (entry *Entry) drainDaemon(session *session) *caller.Error {
+	if entry.store == nil {
+		return storeDown(request.NotRun)
+	}
+	name := session.iris.Params().Get("name")
+	operation := platform.Delete(platform.DrainKey(name))
+	if session.iris.Method() == http.MethodPost {
+		data, err := platform.Encode(platform.NewOperation(), Presence{Name: name})
+		if err != nil {
+			return storeDown(request.NotRun)
+		}
+		operation = platform.Put(platform.DrainKey(name), data)
+	}
+	_, err := entry.store.Txn(session.ctx, platform.ConfigurationCall, platform.TxnRequest{Success: []platform.RequestOp{operation}})
+	if err != nil {
+		return storeFailure(err)
+	}
+	session.iris.StatusCode(http.StatusNoContent)
+	return nil
+}
--- /dev/null
+++ b/io/process/entry/segments.go
@@ -0,0 +1,228 @@
+package entry
+
+import (
+	"context"
+	"strconv"
+
+	"github.com/juju/errors"
+	"github.com/klauspost/compress/zstd"
+	"go.uber.org/zap"
+
+	"cowslipway/core/coordination/batch"
+	"cowslipway/core/state/job"
+	"cowslipway/io/protocol/platform"
+)
+
+// An error would mean options that do not exist.
+var (
+	compressor, _   = zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1))
+	decompressor, _ = zstd.NewReader(nil, zstd.WithDecoderMaxMemory(4*job.MaxSegmentBytes), zstd.WithDecoderConcurrency(1))
+)
+
+func segmentNumber(kv platform.KeyValue) (number int, ok bool) {
+	number, err := strconv.Atoi(platform.LastName(string(kv.Key)))
+	return number, err == nil
+}
+
+// claimSegment makes this entry the owner of a segment and reads its items.
+func (entry *Entry) claimSegment(ctx context.Context, open *openJob, number int, known job.Segment) {
+	ctx, cancel := entry.storeContext(ctx)
+	defer cancel()
+	event := claimedEvent{open: open, number: number, segment: known}
+	event.segment, event.revision, event.err = entry.takeOwnership(ctx, open, number, known)
+	if event.err == nil {
+		event.data, event.err = entry.readData(ctx, open.job.Upload, number)
+	}
+	entry.send(event)
+}
+
+func (entry *Entry) takeOwnership(ctx context.Context, open *openJob, number int, known job.Segment) (segment job.Segment, revision int64, err error) {
+	defer func() { err = errors.Annotatef(err, "claiming segment %d of job %q", number, open.job.ID) }()
+	key := platform.SegmentKey(open.job.ID, number)
+	if known.Epoch > 0 {
+		current, err := platform.Read[job.Segment](ctx, entry.store, platform.CommitCall, key)
+		if err != nil {
+			return known, 0, err
+		}
+		known, revision = current.Value, current.Revision
+		if known.Done {
+			return known, 0, platform.ErrConflict
+		}
+	}
+	segment = known.WithOwner(entry.incarnation)
+	operation := platform.NewOperation()
+	data, err := platform.Encode(operation, segment)
+	if err != nil {
+		return known, 0, err
+	}
+	txn := platform.TxnRequest{
+		Compare: []platform.Compare{
+			platform.Unchanged(key, revision),
+			platform.Unchanged(platform.OpenKey(open.job.ID), open.revision),
+			platform.Present(platform.EntryKey(entry.incarnation)),
+		},
+		Success: []platform.RequestOp{platform.Put(key, data)},
+	}
+	if known.Owner != "" && known.Owner != entry.incarnation {
+		txn.Compare = append(txn.Compare, platform.Absent(platform.EntryKey(known.Owner)))
+	}
+	revision, err = platform.Commit(ctx, entry.store, platform.CommitCall, txn, key, operation)
+	if errors.Is(err, platform.ErrConflict) {
+		current, readErr := platform.Read[job.Segment](ctx, entry.store, platform.CommitCall, key)
+		if readErr == nil {
+			known = current.Value
+		}
+	}
+	if err != nil {
+		return known, 0, err
+	}
+	return segment, revision, nil
+}
+
+func (entry *Entry) readData(ctx context.Context, upload string, number int) (data []byte, err error) {
+	defer func() { err = errors.Annotatef(err, "reading segment %d of upload %q", number, upload) }()
+	kv, ok, err := entry.store.Get(ctx, platform.CommitCall, platform.DataKey(upload, number))
+	if err != nil {
+		return nil, err
+	}
+	if !ok {
+		return nil, errors.NotFoundf("segment")
+	}
+	return decompressor.DecodeAll(kv.Value, nil)
+}
+
+// verifySegment reads whether a segment and its job are still as this entry knows them.
+func (entry *Entry) verifySegment(ctx context.Context, segment *ownedSegment) {
+	ctx, cancel := entry.storeContext(ctx)
+	defer cancel()
+	event := verifiedEvent{segment: segment}
+	record, err := platform.Read[job.Segment](ctx, entry.store, platform.CommitCall, platform.SegmentKey(segment.open.job.ID, segment.number))
+	if err == nil {
+		event.revision = record.Revision
+		var open platform.KeyValue
+		open, event.open, err = entry.store.Get(ctx, platform.CommitCall, platform.OpenKey(segment.open.job.ID))
+		event.open = event.open && open.ModRevision == segment.open.revision
+	}
+	event.err = err
+	entry.send(event)
+}
+
+// finishJob ends a job whose segments are all done.
+func (entry *Entry) finishJob(ctx context.Context, open *openJob, counts job.Counts) {
+	ctx, cancel := entry.storeContext(ctx)
+	defer cancel()
+	if err := entry.endJob(ctx, open.job, open.revision, job.Completed, counts); err != nil && !errors.Is(err, platform.ErrConflict) {
+		entry.Log.Warn("job could not be finished yet", zap.String("job", open.job.ID), zap.Error(err))
+	}
+}
+
+// checkpointIfDue writes the progress of a segment when it is complete, when marks are wanted, or after a while.
+func (control *control) checkpointIfDue(segment *ownedSegment) {
+	due := segment.work.Complete() || len(segment.started) > 0 ||
+		segment.work.Uncommitted() > 0 && control.now.Sub(segment.written) > checkpointPeriod
+	if segment.dropped || segment.writing || !due || control.now.Before(segment.retryAt) {
+		return
+	}
+	segment.writing = true
+	event := checkpointedEvent{
+		segment:    segment,
+		checkpoint: segment.work.Checkpoint(segment.started...),
+		launches:   segment.launches,
+	}
+	segment.started, segment.launches = nil, nil
+	go control.entry.writeCheckpoint(control.ctx, event, segment.revision)
+}
+
+// checkpointedEvent is the end of a write of progress.
+type checkpointedEvent struct {
+	segment    *ownedSegment
+	checkpoint batch.Checkpoint
+	launches   []launch
+	revision   int64
+	err        error
+}
+
+func (event checkpointedEvent) apply(control *control) {
+	segment := event.segment
+	segment.writing = false
+	if segment.dropped {
+		return
+	}
+	if errors.Is(event.err, platform.ErrConflict) {
+		// Somebody else owns the segment, or the job is over: what was found out here does not count.
+		control.entry.Log.Info("segment was lost", zap.String("job", segment.open.job.ID), zap.Int("segment", segment.number))
+		control.drop(segment)
+		return
+	}
+	if event.err != nil {
+		// The store is down: results are kept until they can be committed. The marks may be in the store or
+		// not; the items are sent only once they certainly are.
+		segment.retryAt = control.now.Add(claimPause)
+		for _, launch := range event.launches {
+			control.enqueue(segment, launch.item)
+		}
+		return
+	}
+	segment.revision, segment.written = event.revision, control.now
+	segment.work.Committed(event.checkpoint)
+	segment.open.known[segment.number] = segment.work.Segment
+	for _, launch := range event.launches {
+		control.start(segment, launch)
+	}
+	if !segment.work.Segment.Done {
+		control.checkpointIfDue(segment)
+		return
+	}
+	control.drop(segment)
+	if counts, done := finished(segment.open); done {
+		go control.entry.finishJob(control.ctx, segment.open, counts)
+	}
+	control.claim()
+}
+
+func (entry *Entry) writeCheckpoint(ctx context.Context, event checkpointedEvent, revision int64) {
+	ctx, cancel := entry.storeContext(ctx)
+	defer cancel()
+	event.revision, event.err = entry.commitCheckpoint(ctx, event.segment, event.checkpoint, revision)
+	entry.send(event)
+}
+
+func (entry *Entry) commitCheckpoint(ctx context.Context, segment *ownedSegment, checkpoint batch.Checkpoint, revision int64) (committed int64, err error) {
+	jobID := segment.open.job.ID
+	key := platform.SegmentKey(jobID, segment.number)
+	operation := platform.NewOperation()
+	data, err := platform.Encode(operation, checkpoint.Segment)
+	if err != nil {
+		return 0, err
+	}
+	txn := platform.TxnRequest{
+		Compare: []platform.Compare{
+			platform.Unchanged(key, revision),
+			platform.Unchanged(platform.OpenKey(jobID), segment.open.revision),
+		},
+		Success: []platform.RequestOp{platform.Put(key, data)},
+	}
+	if len(checkpoint.Results) > 0 {
+		part := platform.ResultKey(jobID, segment.number, checkpoint.Part.Epoch, checkpoint.Part.Number)
+		txn.Success = append(txn.Success, platform.Put(part, encodeResults(checkpoint.Results)))
+	}
+	return platform.Commit(ctx, entry.store, platform.CommitCall, txn, key, operation)
+}
+
+const (
+	outputMark = 'o'
+	errorMark  = 'e'
+)
+
+// encodeResults packs results: a line each, marked by the file that it belongs to.
+func encodeResults(results []batch.Result) []byte {
+	var lines []byte
+	for _, result := range results {
+		mark := byte(errorMark)
+		if result.Succeeded {
+			mark = outputMark
+		}
+		lines = append(append(append(lines, mark), result.Line...), '\n')
+	}
+	return compressor.EncodeAll(lines, nil)
+}
--- a/io/process/entry/serve.go
+++ b/io/process/entry/serve.go
@@ -31,6 +31,15 @@
 	app.Post("/v1/chat/completions", entry.accounted(entry.complete))
 	app.Post("/v1/completions", entry.accounted(entry.complete))
 	app.Get("/v1/models", entry.accounted(entry.listModels))
+	app.Post("/v1/files", entry.accounted(entry.uploadFile))
+	app.Get("/v1/files", entry.accounted(entry.listFiles))
+	app.Get("/v1/files/{id}", entry.accounted(entry.getFile))
+	app.Get("/v1/files/{id}/content", entry.accounted(entry.readFile))
+	app.Post("/v1/batches", entry.accounted(entry.createBatch))
+	app.Get("/v1/batches", entry.accounted(entry.listBatches))
+	app.Get("/v1/batches/{id}", entry.accounted(entry.getBatch))
+	app.Post("/v1/batches/{id}/cancel", entry.accounted(entry.cancelBatch))
+	entry.addOperatorRoutes(app)
 	app.Any("/services/{service}/{path:path}", entry.accounted(entry.callService))
 	app.Get("/healthz", entry.health)
 	app.Get("/readyz", entry.readiness)
@@ -77,7 +86,7 @@
 		defer entry.inFlight.Add(-1)
 		entry.metrics.requests.Add(1)
 		session := &session{iris: ctx, id: request.NewID("req-"), began: time.Now(), configuration: entry.configurations.Current()}
-		ctx.Header(caller.RequestIDHeader, session.id)
+		session.setHeader(caller.RequestIDHeader, session.id)
 		failure := entry.identify(session)
 		if failure == nil {
 			failure = entry.traced(session, serve)
@@ -225,6 +234,9 @@
 	if _, condemned := entry.suspects.look(call.fingerprint); condemned {
 		return caller.Refusal(request.Outcome{Disposition: request.NotRun, Reason: request.ReasonPoison})
 	}
+	if key := session.iris.GetHeader(caller.IdempotencyKeyHeader); key != "" && !call.idempotent {
+		return entry.serveClaimed(session, call, key)
+	}
 	if stream {
 		return entry.serveStream(session, call)
 	}
@@ -234,6 +246,11 @@
 func (entry *Entry) serveWhole(session *session, call *call) *caller.Error {
 	receiver := &wholeReceiver{}
 	result := entry.dispatch(session.ctx, call, receiver)
+	return entry.answerWhole(session, call, result, receiver)
+}
+
+// answerWhole answers a call whose whole answer, or final refusal, is known.
+func (entry *Entry) answerWhole(session *session, call *call, result result, receiver *wholeReceiver) *caller.Error {
 	entry.logResult(session, call, result)
 	header := session.iris.ResponseWriter().Header()
 	header.Set(caller.TargetHeader, result.target)
@@ -253,7 +270,7 @@
 	case result.Disposition == request.Done:
 		return nil
 	case !receiver.started:
-		session.iris.Header(caller.TargetHeader, result.target)
+		session.setHeader(caller.TargetHeader, result.target)
 		return caller.Refusal(result.Outcome)
 	case receiver.gone || session.ctx.Err() != nil:
 		entry.metrics.vanished.Add(1)
@@ -338,3 +355,8 @@
 }
 
 const bytesPerToken = 4
+
+// setHeader sets a header field of the answer, in place of what was there.
+func (session *session) setHeader(name, value string) {
+	session.iris.ResponseWriter().Header().Set(name, value)
+}
--- a/io/process/target/attempt.go
+++ b/io/process/target/attempt.go
@@ -103,7 +103,7 @@
 	if !daemon.record.Begin(execution.asRun()) {
 		return notRun(request.ReasonTombstoned, 0)
 	}
-	execution.waiter = &waiter{decision: make(chan gate.Action, 1), cancel: cancel}
+	execution.waiter = &waiter{decision: make(chan gate.Action, 1), cancel: cancel, job: attempt.JobID}
 	if refusal, refused := execution.queue(ctx); refused {
 		return refusal
 	}
--- a/io/process/target/control.go
+++ b/io/process/target/control.go
@@ -15,7 +15,8 @@
 
 const (
 	entryTimeout     = 2 * time.Second // without a word, after which an entry's batch work is stopped
-	failedReports    = 2               // in a row, after which an engine counts as lost
+	cancelMemory     = 10 * time.Minute
+	failedReports    = 2 // in a row, after which an engine counts as lost
 	heartbeatPeriod  = time.Second
 	linkBacklog      = 32
 	loadChangeShare  = 8 // of the slots, in parts; a smaller change of load waits for the heartbeat
@@ -37,13 +38,16 @@
 	links    map[string]*link   // by entry
 	tracker  poison.Tracker
 	failures map[*target]int
+	// cancelled holds the jobs whose items are refused until their owner must have heard of it.
+	cancelled map[string]time.Time
 }
 
 // waiter is the attempt goroutine's end of a decision.
 type waiter struct {
 	decision chan gate.Action // receives one Admit or Refuse
 	cancel   context.CancelCauseFunc
-	isolated bool // belongs to the control goroutine: runs beside no other suspect
+	job      string // of a batch item
+	isolated bool   // belongs to the control goroutine: runs beside no other suspect
 }
 
 // link is the control stream of one entry.
@@ -62,6 +66,8 @@
 		links:    map[string]*link{},
 		tracker:  poison.Tracker{MaxSuspects: maxSuspects, MaxVerdicts: maxVerdicts},
 		failures: map[*target]int{},
+
+		cancelled: map[string]time.Time{},
 	}
 	ticker := time.NewTicker(tickPeriod)
 	defer ticker.Stop()
@@ -109,6 +115,11 @@
 	for _, target := range control.daemon.targets {
 		control.carryOut(target, target.gate.Tick(control.now, target.meter.take()))
 	}
+	for job, until := range control.cancelled {
+		if control.now.After(until) {
+			delete(control.cancelled, job)
+		}
+	}
 	control.report(false)
 }
 
@@ -201,6 +212,10 @@
 		event.waiter.decision <- gate.Action{Kind: gate.Refuse, ID: event.work.ID, Reason: request.ReasonPoison}
 		return
 	}
+	if _, cancelled := control.cancelled[event.waiter.job]; cancelled {
+		event.waiter.decision <- gate.Action{Kind: gate.Refuse, ID: event.work.ID, Reason: request.ReasonCancelled}
+		return
+	}
 	if event.work.Suspect {
 		control.tracker.Learn(control.now, event.fingerprint)
 	}
@@ -349,6 +364,10 @@
 	for _, fingerprint := range event.message.Poison {
 		control.tracker.Condemn(control.now, fingerprint)
 	}
+	control.cancelJobs(event.message.Cancelled)
+	if event.message.Drain {
+		drainEvent{}.apply(control)
+	}
 	if message, behind := control.daemon.configurations.For(event.message.Version); behind {
 		select {
 		case link.out <- message:
@@ -358,6 +377,21 @@
 	control.report(false)
 }
 
+// cancelJobs stops the items of batch jobs, also where their owner is paused or cut off.
+func (control *control) cancelJobs(jobs []string) {
+	for _, job := range jobs {
+		if _, known := control.cancelled[job]; known {
+			continue
+		}
+		control.cancelled[job] = control.now.Add(cancelMemory)
+		for _, waiter := range control.waiting {
+			if waiter.job == job {
+				waiter.cancel(peer.ErrCancelled)
+			}
+		}
+	}
+}
+
 // configurationEvent says that a newer configuration was adopted.
 type configurationEvent struct{}
 
--- a/io/process/target/daemon.go
+++ b/io/process/target/daemon.go
@@ -149,6 +149,7 @@
 	case peer.AskFence:
 		// An attempt that an earlier incarnation got is beyond what this one can vouch for.
 		answer.Fenced = ask.Incarnation == daemon.incarnation && daemon.record.Fence(ask.AttemptID)
+		answer.Found = daemon.record.Unfinished(ask.AttemptID)
 	case peer.AskConfiguration:
 		answer.Configuration, answer.Found = daemon.configurations.For(0)
 	}
--- a/io/protocol/caller/error.go
+++ b/io/protocol/caller/error.go
@@ -100,6 +100,7 @@
 	request.ReasonTargetLost:      {http.StatusBadGateway, "the target was lost", false},
 	request.ReasonBrokenAnswer:    {http.StatusBadGateway, "the answer broke off", false},
 	request.ReasonStoreDown:       {http.StatusServiceUnavailable, "the record of requests can't be reached", false},
+	request.ReasonInProgress:      {http.StatusConflict, "the same request is being served", false},
 	request.ReasonTombstoned:      {http.StatusConflict, "the request was given up on", true},
 	request.ReasonCancelled:       {499, "the request was cancelled", true},
 }
--- a/io/protocol/operator/version.go
+++ b/io/protocol/operator/version.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 
 	"github.com/juju/errors"
 
@@ -10,11 +9,6 @@
 	"cowslipway/io/protocol/platform"
 )
 
-// PointerKey is the key of the record that names the version in force.
-const PointerKey = "/cowslipway/config/current"
-
-const versionPrefix = "/cowslipway/config/versions/"
-
 // Pointer names the version in force.
 type Pointer struct {
 	Version int64 `json:"version"`
@@ -28,12 +22,10 @@
 
 const maxRecordBytes = 1 << 20
 
-func versionKey(version int64) string { return fmt.Sprintf("%s%019d", versionPrefix, version) }
-
 // ReadVersion reads one version from the store.
 func ReadVersion(ctx context.Context, store *platform.Store, version int64) (configuration config.Configuration, err error) {
 	defer func() { err = errors.Annotatef(err, "reading configuration %d", version) }()
-	record, err := platform.Read[config.Configuration](ctx, store, platform.ConfigurationCall, versionKey(version))
+	record, err := platform.Read[config.Configuration](ctx, store, platform.ConfigurationCall, platform.VersionKey(version))
 	if err != nil {
 		return configuration, err
 	}
@@ -45,7 +37,7 @@
 
 // ReadCurrent reads the version in force, of version 0 where there is none yet.
 func ReadCurrent(ctx context.Context, store *platform.Store) (configuration config.Configuration, revision int64, err error) {
-	pointer, err := platform.Read[Pointer](ctx, store, platform.ConfigurationCall, PointerKey)
+	pointer, err := platform.Read[Pointer](ctx, store, platform.ConfigurationCall, platform.PointerKey)
 	if err != nil || pointer.Revision == 0 {
 		return configuration, 0, errors.Annotate(err, "reading the pointer to the configuration")
 	}
@@ -77,10 +69,10 @@
 		return 0, err
 	}
 	txn := platform.TxnRequest{
-		Compare: []platform.Compare{platform.Unchanged(PointerKey, revision), platform.Absent(versionKey(version))},
-		Success: []platform.RequestOp{platform.Put(versionKey(version), document), platform.Put(PointerKey, pointer)},
+		Compare: []platform.Compare{platform.Unchanged(platform.PointerKey, revision), platform.Absent(platform.VersionKey(version))},
+		Success: []platform.RequestOp{platform.Put(platform.VersionKey(version), document), platform.Put(platform.PointerKey, pointer)},
 	}
-	err = platform.Commit(ctx, store, platform.ConfigurationCall, txn, versionKey(version), operation)
+	_, err = platform.Commit(ctx, store, platform.ConfigurationCall, txn, platform.VersionKey(version), operation)
 	if errors.Is(err, platform.ErrConflict) {
 		return 0, errors.Wrap(err, ErrRaced)
 	}
@@ -90,7 +82,7 @@
 // resolve tells whether an apply that is sent again has taken effect before: the record of a version keeps
 // the identifier of its write for ever.
 func resolve(ctx context.Context, store *platform.Store, version int64, operation string) (err error) {
-	record, err := platform.Read[config.Configuration](ctx, store, platform.ConfigurationCall, versionKey(version))
+	record, err := platform.Read[config.Configuration](ctx, store, platform.ConfigurationCall, platform.VersionKey(version))
 	if err != nil {
 		return err
 	}
--- a/io/protocol/peer/message.go
+++ b/io/protocol/peer/message.go
@@ -33,6 +33,7 @@
 	Fingerprint   uint64        `msgpack:"fingerprint"`
 	Suspect       bool          `msgpack:"suspect"` // was in flight when a target crashed
 	GrantID       uint64        `msgpack:"grant"`
+	JobID         string        `msgpack:"job"` // of a batch item
 	TraceParent   string        `msgpack:"trace"`
 	BodySizeBytes int64         `msgpack:"body"`
 }
@@ -111,8 +112,12 @@
 type Backlog struct {
 	Version  int64            `msgpack:"version"`
 	Services []ServiceBacklog `msgpack:"services"`
-	Suspects []uint64         `msgpack:"suspects"`
-	Poison   []uint64         `msgpack:"poison"`
+	// Cancelled names batch jobs whose items must stop at once, whoever sent them.
+	Cancelled []string `msgpack:"cancelled"`
+	// Drain asks the daemon to refuse new work from now on.
+	Drain    bool     `msgpack:"drain"`
+	Suspects []uint64 `msgpack:"suspects"`
+	Poison   []uint64 `msgpack:"poison"`
 }
 
 // ServiceBacklog is the number of batch items that wait for one service.
--- a/io/protocol/platform/wire.go
+++ b/io/protocol/platform/wire.go
@@ -47,7 +47,7 @@
 
 // Compare is one condition of a transaction.
 type Compare struct {
-	Result      string `json:"result"` // EQUAL
+	Result      string `json:"result"` // EQUAL or GREATER
 	Target      string `json:"target"` // MOD or VERSION
 	Key         []byte `json:"key"`
 	ModRevision int64  `json:"mod_revision,string,omitempty"`
--- a/io/protocol/platform/write.go
+++ b/io/protocol/platform/write.go
@@ -72,6 +72,11 @@
 	return Compare{Result: "EQUAL", Target: "VERSION", Key: []byte(key)}
 }
 
+// Present is the condition that key exists.
+func Present(key string) Compare {
+	return Compare{Result: "GREATER", Target: "VERSION", Key: []byte(key)}
+}
+
 // Put is the operation that writes data under key.
 func Put(key string, data []byte) RequestOp {
 	return RequestOp{Put: &PutRequest{Key: []byte(key), Value: data}}
@@ -82,59 +87,59 @@
 	return RequestOp{Delete: &DeleteRequest{Key: []byte(key)}}
 }
 
-// Commit carries out txn and resolves a lost answer: witness is a key that txn writes with a record of
-// operation. The error's cause is ErrConflict where nothing was changed, ErrNotSent where the store was not
-// reached and ErrUnknown where it could not be resolved.
-func Commit(ctx context.Context, store *Store, priority Priority, txn TxnRequest, witness, operation string) (err error) {
+// DeletePrefix is the operation that deletes the keys that begin with prefix.
+func DeletePrefix(prefix string) RequestOp {
+	return RequestOp{Delete: &DeleteRequest{Key: []byte(prefix), RangeEnd: PrefixEnd(prefix)}}
+}
+
+// Commit carries out txn and returns the revision that it gave to what it wrote. It resolves a lost answer:
+// witness is a key that txn writes with a record of operation. The error's cause is ErrConflict where nothing
+// was changed, ErrNotSent where the store was not reached and ErrUnknown where it could not be resolved.
+func Commit(ctx context.Context, store *Store, priority Priority, txn TxnRequest, witness, operation string) (revision int64, err error) {
 	defer func() { err = errors.Annotatef(err, "committing %q", witness) }()
 	answer, err := store.Txn(ctx, priority, txn)
+	if err == nil && answer.Succeeded {
+		return answer.Header.Revision, nil
+	}
 	if err == nil {
-		if !answer.Succeeded {
-			return readBack(ctx, store, priority, witness, operation, ErrConflict)
-		}
-		return nil
+		return 0, ErrConflict
 	}
 	if !errors.Is(err, ErrUnknown) {
-		return err
+		return 0, err
 	}
 	for range readBackAttempts {
-		found := readBack(ctx, store, priority, witness, operation, ErrConflict)
-		if found == nil {
-			return nil
+		current, readErr := Read[json.RawMessage](ctx, store, priority, witness)
+		if readErr == nil && current.Operation == operation {
+			return current.Revision, nil
 		}
-		if errors.Is(found, ErrConflict) {
+		if readErr == nil {
 			return retryLost(ctx, store, priority, txn, witness, operation)
 		}
 		select {
 		case <-ctx.Done():
-			return err
+			return 0, err
 		case <-time.After(readBackPause):
 		}
 	}
-	return err
+	return 0, err
 }
 
 // retryLost sends txn again after a lost answer and a read that did not show it: the first may still be on
 // its way, and its conditions let only one of the two take effect.
-func retryLost(ctx context.Context, store *Store, priority Priority, txn TxnRequest, witness, operation string) (err error) {
+func retryLost(ctx context.Context, store *Store, priority Priority, txn TxnRequest, witness, operation string) (revision int64, err error) {
 	answer, err := store.Txn(ctx, priority, txn)
 	if err != nil {
-		return errors.Wrap(err, ErrUnknown)
+		return 0, errors.Wrap(err, ErrUnknown)
 	}
 	if answer.Succeeded {
-		return nil
+		return answer.Header.Revision, nil
 	}
-	return readBack(ctx, store, priority, witness, operation, ErrConflict)
-}
-
-// readBack returns nil if the record at witness was written by operation, and otherwise where it can tell.
-func readBack(ctx context.Context, store *Store, priority Priority, witness, operation string, otherwise error) (err error) {
 	current, err := Read[json.RawMessage](ctx, store, priority, witness)
 	if err != nil {
-		return err
+		return 0, errors.Wrap(err, ErrUnknown)
 	}
 	if current.Operation == operation {
-		return nil
+		return current.Revision, nil
 	}
-	return otherwise
+	return 0, ErrConflict
 }
