--- a/core/coordination/fair/queue.go
+++ b/core/coordination/fair/queue.go
@@ -7,7 +7,7 @@
 )
 
 // ErrFull says that an account has as many items queued as it may.
-var ErrFull = errors.New("queue of the account is full")
+const ErrFull = errors.ConstError("queue of the account is full")
 
 const sweepThreshold = 64 // idle flows
 
--- a/core/coordination/retry/retry_test.go
+++ b/core/coordination/retry/retry_test.go
@@ -20,7 +20,7 @@
 	datadriven.RunTest(t, "testdata/plan", func(t *testing.T, data *datadriven.TestData) string {
 		switch data.Cmd {
 		case "plan":
-			return walk(t, data)
+			return walk(data)
 		case "storm":
 			return storm(t, data)
 		case "backoff":
@@ -32,7 +32,7 @@
 }
 
 // walk goes through a plan with the outcomes given, one a line: disposition and reason.
-func walk(t *testing.T, data *datadriven.TestData) string {
+func walk(data *datadriven.TestData) string {
 	budget := &Budget{Share: 0.1, Burst: 10}
 	now := time.Unix(1000, 0)
 	plan := &Plan{MaxAttempts: 3, Idempotent: data.HasArg("idempotent"), Expires: now.Add(time.Second)}
--- a/core/state/config/delta.go
+++ b/core/state/config/delta.go
@@ -24,7 +24,7 @@
 }
 
 // ErrOutOfOrder says that a delta does not follow on the version that it was applied to.
-var ErrOutOfOrder = errors.New("delta does not follow on this version")
+const ErrOutOfOrder = errors.ConstError("delta does not follow on this version")
 
 func nameOfService(service Service) string { return service.Name }
 
--- a/io/process/entry/control.go
+++ b/io/process/entry/control.go
@@ -60,12 +60,27 @@
 func (control *control) tick() {
 	paused := !control.tock.IsZero() && control.now.Sub(control.tock) > pauseThreshold
 	control.tock = control.now
+	if paused {
+		control.reconnect()
+	}
+	control.entry.awake.Store(control.now.UnixNano())
 	control.tickBatches(paused)
 	if control.now.Sub(control.beat) >= heartbeatPeriod {
 		control.heartbeat()
 	}
 }
 
+// reconnect closes every connection after a pause: the daemons have given them up, while packets from before
+// that still make them look alive.
+func (control *control) reconnect() {
+	control.entry.Log.Warn("the process was paused; connections are opened anew")
+	for _, link := range control.links {
+		if client := link.client.Swap(nil); client != nil {
+			_ = client.Connection.CloseWithError(0, "paused")
+		}
+	}
+}
+
 // heartbeat tells every target daemon that this entry lives, what waits here, and what is news.
 func (control *control) heartbeat() {
 	control.beat = control.now
--- a/io/process/entry/dispatch.go
+++ b/io/process/entry/dispatch.go
@@ -107,8 +107,7 @@
 	var buffer [64]routing.Candidate
 	candidates := buffer[:0]
 	for _, view := range views {
-		lost := view.daemon.client.Load() == nil
-		candidates = append(candidates, view.candidate(now, lost || plan.Tried(view.name)))
+		candidates = append(candidates, view.candidate(now, !view.daemon.usable(now) || plan.Tried(view.name)))
 	}
 	wanted := routing.Request{Places: call.places, Prefix: call.prefix}
 	chosen := entry.Chooser.Choose(random(), wanted, candidates)
--- a/io/process/entry/entry.go
+++ b/io/process/entry/entry.go
@@ -56,6 +56,7 @@
 	suspects       suspects
 	record         runs.Record
 	claimLease     atomic.Int64
+	awake          atomic.Int64 // Unix nanoseconds of the control goroutine's last tick
 	lease          atomic.Int64 // of the entry's presence, 0 before it has one
 	metrics        metrics
 	inFlight       atomic.Int64
@@ -99,6 +100,7 @@
 func (entry *Entry) init() {
 	entry.incarnation = entry.Settings.Name + "-" + request.NewID("")
 	entry.control = make(chan event, controlBacklog)
+	entry.awake.Store(time.Now().UnixNano())
 	entry.fleet.Store(&fleet{})
 	entry.limiter.MaxAccounts = entry.Settings.MaxAccounts
 	entry.limiter.SetEntries(entry.Settings.EntryCount)
--- a/io/process/entry/items.go
+++ b/io/process/entry/items.go
@@ -62,7 +62,7 @@
 
 // start runs an item on its target.
 func (control *control) start(segment *ownedSegment, launch launch) {
-	ctx, cancel := context.WithCancel(control.ctx)
+	ctx, cancel := context.WithCancel(control.ctx) //nolint:gosec // itemEvent or drop calls it
 	segment.running[launch.item.Number] = cancel
 	go control.entry.runItem(ctx, segment, launch)
 }
--- a/io/process/entry/jobs.go
+++ b/io/process/entry/jobs.go
@@ -33,6 +33,7 @@
 	revision int64               // of the job's key below the open prefix
 	known    map[int]job.Segment // as they were when listed or tried last
 	mine     map[int]*ownedSegment
+	claiming map[int]bool // claims under way
 	listed   time.Time
 	listing  bool
 	pausedTo time.Time // no claims before
@@ -134,6 +135,7 @@
 		revision: event.revision,
 		known:    map[int]job.Segment{},
 		mine:     map[int]*ownedSegment{},
+		claiming: map[int]bool{},
 	}
 	control.claim()
 }
@@ -208,7 +210,7 @@
 			return
 		}
 		control.batches.claiming++
-		open.mine[segment] = &ownedSegment{open: open, number: segment, dropped: true}
+		open.claiming[segment] = true
 		go control.entry.claimSegment(control.ctx, open, segment, open.known[segment])
 	}
 }
@@ -227,12 +229,12 @@
 		for incarnation := range control.batches.live {
 			live[incarnation] = incarnation != control.entry.incarnation
 		}
-		skip := func(number int) bool { return candidate.mine[number] != nil }
+		skip := func(number int) bool { return candidate.mine[number] != nil || candidate.claiming[number] }
 		segment, ok = batch.Pick(control.entry.incarnation, candidate.job.ID, len(candidate.job.Segments), candidate.known, live, skip)
 		if ok {
 			return candidate, segment, true
 		}
-		if len(candidate.mine) == 0 && control.now.Sub(candidate.listed) > listAgain {
+		if len(candidate.mine)+len(candidate.claiming) == 0 && control.now.Sub(candidate.listed) > listAgain {
 			control.list(candidate)
 		}
 	}
@@ -243,7 +245,7 @@
 func (control *control) jobsInOrder() (jobs []*openJob) {
 	held := map[string]int{}
 	for _, open := range control.batches.jobs {
-		held[open.job.Account] += len(open.mine)
+		held[open.job.Account] += len(open.mine) + len(open.claiming)
 		jobs = append(jobs, open)
 	}
 	current := control.entry.configurations.Current()
@@ -318,7 +320,7 @@
 func (event claimedEvent) apply(control *control) {
 	open := event.open
 	control.batches.claiming--
-	delete(open.mine, event.number)
+	delete(open.claiming, event.number)
 	if event.err != nil {
 		if event.segment.Epoch > 0 {
 			open.known[event.number] = event.segment // somebody else was faster
--- a/io/process/entry/link.go
+++ b/io/process/entry/link.go
@@ -21,6 +21,7 @@
 	reconnectBase  = 50 * time.Millisecond
 	reconnectLimit = 2 * time.Second
 	dialTimeout    = 3 * time.Second
+	silenceLimit   = 3 * time.Second // a daemon reports every second at least
 )
 
 // daemonLink is the connection to one target daemon.
@@ -31,6 +32,7 @@
 	out     chan any // peer.Backlog or peer.Configuration
 	leaving atomic.Bool
 	version atomic.Int64 // of the daemon's configuration
+	heard   atomic.Int64 // Unix nanoseconds at which its last report came
 	client  atomic.Pointer[peer.Client]
 	hello   atomic.Pointer[peer.Hello]
 
@@ -130,6 +132,7 @@
 
 // open takes up the daemon that said hello.
 func (link *daemonLink) open(client *peer.Client, hello peer.Hello) (views map[string]*targetView) {
+	link.heard.Store(time.Now().UnixNano())
 	link.client.Store(client)
 	link.hello.Store(&hello)
 	link.version.Store(hello.Version)
@@ -162,7 +165,15 @@
 	return nil
 }
 
+// usable reports whether the daemon was heard of lately. After a pause of this process connections may be
+// dead without a word, so none is usable until the control goroutine has seen to them.
+func (link *daemonLink) usable(now time.Time) bool {
+	heard, awake := time.Unix(0, link.heard.Load()), time.Unix(0, link.entry.awake.Load())
+	return link.client.Load() != nil && now.Sub(heard) < silenceLimit && now.Sub(awake) < pauseThreshold
+}
+
 func (link *daemonLink) take(views map[string]*targetView, report peer.Report) {
+	link.heard.Store(time.Now().UnixNano())
 	link.version.Store(report.Version)
 	for _, load := range report.Loads {
 		if view, ok := views[load.Target]; ok {
--- a/io/process/entry/receive.go
+++ b/io/process/entry/receive.go
@@ -12,7 +12,7 @@
 
 const maxAnswerBytes = 32 << 20
 
-var errAnswerTooLarge = errors.New("answer is too large to be held back")
+const errAnswerTooLarge = errors.ConstError("answer is too large to be held back")
 
 // wholeReceiver holds an answer back until the whole of it is there, so that another attempt can replace it.
 type wholeReceiver struct {
--- a/io/process/target/attempt.go
+++ b/io/process/target/attempt.go
@@ -28,7 +28,7 @@
 	eventStreamType = "text/event-stream"
 )
 
-var errPreempted = errors.New("slot was given to online work")
+const errPreempted = errors.ConstError("slot was given to online work")
 
 // execution is one attempt while the daemon works on it.
 type execution struct {
--- a/io/process/target/control.go
+++ b/io/process/target/control.go
@@ -15,6 +15,7 @@
 
 const (
 	entryTimeout     = 2 * time.Second // without a word, after which an entry's batch work is stopped
+	crashQuarantine  = 5 * time.Second
 	cancelMemory     = 10 * time.Minute
 	failedReports    = 2 // in a row, after which an engine counts as lost
 	heartbeatPeriod  = time.Second
@@ -37,7 +38,8 @@
 	waiting  map[string]*waiter // by attempt, queued or running
 	links    map[string]*link   // by entry
 	tracker  poison.Tracker
-	failures map[*target]int
+	failures map[*target]int       // failed load reports in a row
+	crashes  map[*target]time.Time // last loss of an engine with work in flight
 	// cancelled holds the jobs whose items are refused until their owner must have heard of it.
 	cancelled map[string]time.Time
 }
@@ -66,6 +68,7 @@
 		links:    map[string]*link{},
 		tracker:  poison.Tracker{MaxSuspects: maxSuspects, MaxVerdicts: maxVerdicts},
 		failures: map[*target]int{},
+		crashes:  map[*target]time.Time{},
 
 		cancelled: map[string]time.Time{},
 	}
@@ -248,7 +251,7 @@
 	isolated := known && waiter.isolated
 	reply := finishReply{}
 	if event.crashed {
-		reply.condemned = control.suspect(event.fingerprint, isolated)
+		reply.condemned = control.crashed(event.target, event.fingerprint, isolated)
 	}
 	if event.completed && isolated {
 		control.tracker.Clear(event.fingerprint)
@@ -263,6 +266,15 @@
 	event.reply <- reply
 }
 
+// crashed takes the loss of an engine with a request in flight. What is lost soon after an earlier loss says
+// nothing about the request: an engine may take a while to die of what it ran before.
+func (control *control) crashed(target *target, fingerprint uint64, isolated bool) (condemned bool) {
+	alone := isolated && control.now.Sub(control.crashes[target]) > crashQuarantine
+	control.crashes[target] = control.now
+	control.carryOut(target, target.gate.Suspend())
+	return control.suspect(fingerprint, alone)
+}
+
 // suspect records that a request was in flight when the engine was lost and tells the entries.
 func (control *control) suspect(fingerprint uint64, alone bool) (condemned bool) {
 	condemned = control.tracker.Record(control.now, fingerprint, poison.EngineCrash, alone)
--- a/io/protocol/engine/client.go
+++ b/io/protocol/engine/client.go
@@ -30,10 +30,10 @@
 )
 
 // ErrRefused is the cause of an error of a request that never reached the engine.
-var ErrRefused = errors.New("engine not reached")
+const ErrRefused = errors.ConstError("engine not reached")
 
 // ErrFenced is the cause of an error of an order with a fencing token older than the engine has seen.
-var ErrFenced = errors.New("fencing token is too old")
+const ErrFenced = errors.ConstError("fencing token is too old")
 
 // Client speaks to one engine or plain service.
 type Client struct {
@@ -68,7 +68,7 @@
 	defer func() { err = errors.Annotate(err, "calling the engine") }()
 	question, err := http.NewRequestWithContext(ctx, call.Method, client.Address+call.Path, bytes.NewReader(call.Body))
 	if err != nil {
-		return nil, errors.Wrap(err, ErrRefused)
+		return nil, errors.WithType(err, ErrRefused)
 	}
 	for name, values := range call.Header {
 		question.Header[name] = values
@@ -83,7 +83,7 @@
 	}
 	var operation *net.OpError
 	if errors.As(err, &operation) && operation.Op == "dial" {
-		return nil, errors.Wrap(err, ErrRefused)
+		return nil, errors.WithType(err, ErrRefused)
 	}
 	return nil, err
 }
--- a/io/protocol/engine/events.go
+++ b/io/protocol/engine/events.go
@@ -11,7 +11,7 @@
 const maxEventBytes = 1 << 20
 
 // ErrEventTooLong says that one server-sent event exceeds what is allowed.
-var ErrEventTooLong = errors.New("server-sent event is too long")
+const ErrEventTooLong = errors.ConstError("server-sent event is too long")
 
 var doneEvent = []byte("data: [DONE]")
 
--- a/io/protocol/operator/version.go
+++ b/io/protocol/operator/version.go
@@ -15,10 +15,10 @@
 }
 
 // ErrRaced says that another version was put in force since the one that the operator saw.
-var ErrRaced = errors.New("another configuration was put in force meanwhile")
+const ErrRaced = errors.ConstError("another configuration was put in force meanwhile")
 
 // ErrTooLarge says that a declaration exceeds what one record of the store holds.
-var ErrTooLarge = errors.New("declaration is too large")
+const ErrTooLarge = errors.ConstError("declaration is too large")
 
 const maxRecordBytes = 1 << 20
 
@@ -74,7 +74,7 @@
 	}
 	_, err = platform.Commit(ctx, store, platform.ConfigurationCall, txn, platform.VersionKey(version), operation)
 	if errors.Is(err, platform.ErrConflict) {
-		return 0, errors.Wrap(err, ErrRaced)
+		return 0, errors.WithType(err, ErrRaced)
 	}
 	return version, err
 }
--- a/io/protocol/peer/client.go
+++ b/io/protocol/peer/client.go
@@ -20,7 +20,7 @@
 )
 
 // ErrBroken is the cause of an error about an answer that ended before its last frame or does not match it.
-var ErrBroken = errors.New("answer is not whole")
+const ErrBroken = errors.ConstError("answer is not whole")
 
 // Client sends attempts and questions over one connection.
 type Client struct {
--- a/io/protocol/peer/frame.go
+++ b/io/protocol/peer/frame.go
@@ -38,7 +38,7 @@
 )
 
 // ErrFrame is the cause of every error about a frame that the protocol does not allow.
-var ErrFrame = errors.New("malformed frame")
+const ErrFrame = errors.ConstError("malformed frame")
 
 // Frame is one unit of the protocol on the wire: type, length and payload.
 type Frame struct {
@@ -49,7 +49,7 @@
 // Decode reads the payload of frame into message.
 func (frame Frame) Decode(message any) (err error) {
 	if err = msgpack.Unmarshal(frame.Payload, message); err != nil {
-		return errors.Wrapf(err, ErrFrame, "payload of frame type %d", frame.Type)
+		return errors.Annotatef(errors.WithType(err, ErrFrame), "payload of frame type %d", frame.Type)
 	}
 	return nil
 }
--- a/io/protocol/peer/server.go
+++ b/io/protocol/peer/server.go
@@ -135,7 +135,7 @@
 }
 
 // ErrCancelled is the cause of the context of an attempt that its entry cancelled.
-var ErrCancelled = errors.New("cancelled by the entry")
+const ErrCancelled = errors.ConstError("cancelled by the entry")
 
 // watchCancel ends the attempt when the entry cancels it or drops the stream.
 func watchCancel(frames *FrameReader, cancel context.CancelCauseFunc) {
--- a/io/protocol/platform/store.go
+++ b/io/protocol/platform/store.go
@@ -45,10 +45,10 @@
 )
 
 // ErrNotSent is the cause of errors of calls that certainly took no effect.
-var ErrNotSent = errors.New("store not reached")
+const ErrNotSent = errors.ConstError("store not reached")
 
 // ErrUnknown is the cause of errors of calls whose answer was lost: they may have taken effect.
-var ErrUnknown = errors.New("store's answer lost")
+const ErrUnknown = errors.ConstError("store's answer lost")
 
 // Store is a client of the key-value service with a budget of calls and a breaker.
 type Store struct {
@@ -129,9 +129,9 @@
 	if err != nil {
 		store.fail()
 		if response.StatusCode == http.StatusTooManyRequests || response.StatusCode == http.StatusServiceUnavailable {
-			return errors.Wrap(err, ErrNotSent)
+			return errors.WithType(err, ErrNotSent)
 		}
-		return errors.Wrap(err, ErrUnknown)
+		return errors.WithType(err, ErrUnknown)
 	}
 	store.failures.Store(0)
 	return nil
@@ -140,11 +140,11 @@
 func (store *Store) post(ctx context.Context, path string, question any) (response *http.Response, err error) {
 	body, err := json.Marshal(question)
 	if err != nil {
-		return nil, errors.Wrap(err, ErrNotSent)
+		return nil, errors.WithType(err, ErrNotSent)
 	}
 	call, err := http.NewRequestWithContext(ctx, http.MethodPost, store.Address+path, bytes.NewReader(body))
 	if err != nil {
-		return nil, errors.Wrap(err, ErrNotSent)
+		return nil, errors.WithType(err, ErrNotSent)
 	}
 	call.Header.Set("Content-Type", "application/json")
 	response, err = store.HTTP.Do(call)
@@ -153,9 +153,9 @@
 	}
 	var dial *net.OpError
 	if errors.As(err, &dial) && dial.Op == "dial" {
-		return nil, errors.Wrap(err, ErrNotSent)
+		return nil, errors.WithType(err, ErrNotSent)
 	}
-	return nil, errors.Wrap(err, ErrUnknown)
+	return nil, errors.WithType(err, ErrUnknown)
 }
 
 // fail counts a failed call; a few in a row open the breaker for a random, growing time.
--- a/io/protocol/platform/write.go
+++ b/io/protocol/platform/write.go
@@ -16,7 +16,7 @@
 )
 
 // ErrConflict is the cause of errors of writes whose conditions did not hold: nothing was changed.
-var ErrConflict = errors.New("record was changed by another writer")
+const ErrConflict = errors.ConstError("record was changed by another writer")
 
 // Record is the form in which values lie in the store: with the identifier of the write that made them,
 // so that a writer whose answer was lost can tell whether its write took effect.
@@ -129,14 +129,14 @@
 func retryLost(ctx context.Context, store *Store, priority Priority, txn TxnRequest, witness, operation string) (revision int64, err error) {
 	answer, err := store.Txn(ctx, priority, txn)
 	if err != nil {
-		return 0, errors.Wrap(err, ErrUnknown)
+		return 0, errors.WithType(err, ErrUnknown)
 	}
 	if answer.Succeeded {
 		return answer.Header.Revision, nil
 	}
 	current, err := Read[json.RawMessage](ctx, store, priority, witness)
 	if err != nil {
-		return 0, errors.Wrap(err, ErrUnknown)
+		return 0, errors.WithType(err, ErrUnknown)
 	}
 	if current.Operation == operation {
 		return current.Revision, nil
