gate: learn the engine's limit from what it runs when full; shares and refunds

Cause: the first measurement (one repeat, flat engines) showed online alone at 7.4 s to the first token: requests that wait for the engine's next step were taken for a queue, so the limit collapsed to what ran by chance. Beside a noisy account the calm one waited 5.6 s. Ruled out: allowing for what was admitted between two reports (at 75 items a second a queue of 8 hides in it; first token p99 460 ms, and the calm account got no better). Change: the engine counts as full when it runs the same number with a queue in several reports; probes above that are small, ever rarer, and taken back by the next online arrival; what an account is given back while nothing of it is queued is kept (it paid 132 tokens for 32 where one that always queues paid 32); the last slots are kept for accounts under their share. Still open: p99 of online with batch under 193 ms against 51 ms alone; calm p99.

--- a/Makefile
+++ b/Makefile
@@ -13,3 +13,7 @@
 
 demo: build
 	bin/cowslipway demo --listen 127.0.0.1:8400
+
+.PHONY: measure
+measure: build
+	bin/load measure --dir docs/measurements
--- a/core/coordination/fair/queue.go
+++ b/core/coordination/fair/queue.go
@@ -9,7 +9,10 @@
 // ErrFull says that an account has as many items queued as it may.
 const ErrFull = errors.ConstError("queue of the account is full")
 
-const sweepThreshold = 64 // idle flows
+const (
+	sweepThreshold = 64 // idle flows
+	maxCredit      = 2  // items that an idle account can be ahead by what it was given back
+)
 
 // Queue is a weighted fair queue (start-time fair queueing, Goyal et al. 1996): the account that received
 // the least cost for its weight is served first.
@@ -26,6 +29,8 @@
 	account string
 	weight  float64
 	next    float64 // virtual time at which the first item may start
+	credit  float64 // given back while nothing was queued, in virtual time
+	last    float64 // cost of the item served last, in virtual time
 	items   []entry[T]
 	index   int // in the heap, -1 while idle
 }
@@ -61,7 +66,10 @@
 	flow.items = append(flow.items, entry[T]{item: item, cost: max(cost, 1)})
 	queue.size++
 	if flow.index < 0 {
-		flow.next = max(flow.next, queue.virtual)
+		// What was given back would otherwise be lost to those who queue little, and kept by those who
+		// always queue.
+		flow.next = max(flow.next, queue.virtual) - min(flow.credit, maxCredit*flow.last)
+		flow.credit = 0
 		heap.Push(&queue.active, flow)
 	}
 	return nil
@@ -92,12 +100,12 @@
 	}
 }
 
-// Peek returns the item that Pop would return.
-func (queue *Queue[T]) Peek() (item T, ok bool) {
+// NextAccount returns the account whose item Pop would return.
+func (queue *Queue[T]) NextAccount() (account string, ok bool) {
 	if len(queue.active) == 0 {
-		return item, false
+		return "", false
 	}
-	return queue.active[0].items[0].item, true
+	return queue.active[0].account, true
 }
 
 // Pop removes and returns the next item.
@@ -108,7 +116,8 @@
 	flow := queue.active[0]
 	first := flow.items[0]
 	queue.virtual = max(queue.virtual, flow.next)
-	flow.next += float64(first.cost) / flow.weight
+	flow.last = float64(first.cost) / flow.weight
+	flow.next += flow.last
 	queue.drop(flow, 0)
 	return first.item, true
 }
@@ -145,7 +154,12 @@
 	if !ok {
 		return
 	}
-	flow.next += float64(cost) / flow.weight
+	change := float64(cost) / flow.weight
+	if flow.index < 0 && change < 0 {
+		flow.credit -= change
+		return
+	}
+	flow.next += change
 	if flow.index >= 0 {
 		heap.Fix(&queue.active, flow.index)
 	}
--- a/core/coordination/gate/gate.go
+++ b/core/coordination/gate/gate.go
@@ -59,6 +59,7 @@
 	MaxQueued     int // online items queued in all
 
 	queue     fair.Queue[Work]
+	shares    shares
 	suspects  []Work // wait until the suspect that runs has ended
 	isolated  string // the suspect that runs
 	running   map[string]*run
@@ -96,6 +97,7 @@
 	if gate.suspended {
 		return gate.refuse(work.ID, request.ReasonEngineLost, 0)
 	}
+	gate.shares.arrive(now, work.Account, work.Weight)
 	wait := gate.expectedWait(work.Account)
 	if now.Add(wait).After(work.Expires) {
 		return gate.refuse(work.ID, request.ReasonDeadline, max(minRetryAfter, wait))
@@ -176,6 +178,7 @@
 func (gate *Gate) Tick(now time.Time, latency Latency) []Action {
 	gate.actions = gate.actions[:0]
 	gate.Grants.Expire(now)
+	gate.shares.sweep(now)
 	gate.BatchLimit.Observe(latency, gate.online, gate.batch, gate.Slots.Limit())
 	for gate.batch > gate.batchLimit() {
 		if !gate.preempt() {
@@ -252,10 +255,7 @@
 	if !gate.learned || gate.suspended {
 		return
 	}
-	for gate.queue.Len() > 0 {
-		if gate.online+gate.batch >= gate.limit() && !gate.preempt() && gate.online >= gate.limit() {
-			return
-		}
+	for gate.queue.Len() > 0 && gate.makeRoom() {
 		work, _ := gate.queue.Pop()
 		if work.Suspect && gate.isolated != "" {
 			gate.suspects = append(gate.suspects, work)
@@ -265,6 +265,32 @@
 	}
 }
 
+// makeRoom reports whether the next online work may be admitted. The limit that it is held to is the one that
+// the engine was found to run; only batch work tries more than that, and makes way first. The last free slots
+// are kept for accounts that have less than their share.
+func (gate *Gate) makeRoom() (ok bool) {
+	limit := max(1, gate.Slots.Known()-gate.foreign)
+	if gate.online >= limit {
+		return false
+	}
+	account, _ := gate.queue.NextAccount()
+	if limit-gate.online <= gate.shareReserve(limit) && gate.shares.exceeds(account, limit) {
+		return false
+	}
+	for gate.online+gate.batch >= limit && gate.preempt() {
+	}
+	return true
+}
+
+const shareReserveShare = 16 // one slot in so many is kept for accounts under their share
+
+func (gate *Gate) shareReserve(limit int) int {
+	if gate.shares.accounts() < 2 {
+		return 0
+	}
+	return max(1, limit/shareReserveShare)
+}
+
 func (gate *Gate) admit(now time.Time, work Work) {
 	if gate.running == nil {
 		gate.running = map[string]*run{}
@@ -277,6 +303,7 @@
 	switch {
 	case work.Class == request.Online:
 		gate.online++
+		gate.shares.begin(work.Account)
 	case work.Preemptible:
 		gate.batch++
 	default:
@@ -322,6 +349,7 @@
 	switch {
 	case run.work.Class == request.Online:
 		gate.online--
+		gate.shares.end(run.work.Account)
 	case !run.work.Preemptible:
 		gate.batch--
 		gate.pinned--
@@ -370,9 +398,18 @@
 	if gate.queue.Len() > 0 {
 		return 0
 	}
-	return min(gate.batchLimit(), gate.limit()-gate.online) - gate.batch
+	limit := gate.limit()
+	if gate.online > 0 {
+		known := max(1, gate.Slots.Known()-gate.foreign)
+		limit = min(limit, known-known/onlineReserveShare)
+	}
+	return min(gate.batchLimit(), limit-gate.online) - gate.batch
 }
 
+// onlineReserveShare keeps one slot in so many free while online work runs, so that most arrivals need not
+// preempt.
+const onlineReserveShare = 32
+
 const pinnedShare = 4 // one slot in so many may hold batch work that can't be preempted
 
 func (gate *Gate) pinnedLimit() int { return max(1, gate.limit()/pinnedShare) }
--- a/core/coordination/gate/limit.go
+++ b/core/coordination/gate/limit.go
@@ -3,8 +3,12 @@
 import "time"
 
 const (
-	slotGrowth        = 8  // the limit grows by one part in so many
-	growthHoldReports = 20 // after the engine's queue was seen
+	probeShare     = 32  // the limit is probed upwards by one part in so many, once it was too high
+	firstHold      = 20  // reports between finding the limit and the first probe upwards
+	longestHold    = 600 // reports; each probe that fails doubles the time to the next
+	queuedReports  = 4   // in a row that show the same full engine, from which on it counts as full
+	crowdedReports = 2   // likewise where its queue is long
+	crowdedShare   = 4   // a queue is long from one part in so many of what runs
 )
 
 // SlotLimit learns how many requests an engine runs at once without queueing them itself.
@@ -12,8 +16,12 @@
 	Min, Max int
 	Start    int
 
-	limit int
-	hold  int // reports until the limit may grow again
+	limit    int
+	found    int // the last limit found to be full, 0 before the first
+	hold     int // reports until the next probe upwards
+	nextHold int
+	full     int // reports in a row that showed a queue and the same number running
+	running  int // in the last report
 }
 
 // Limit returns the number of requests that may be at the engine.
@@ -24,22 +32,61 @@
 	return slotLimit.limit
 }
 
-// Report takes what the engine reports; saturated says that the limit was in use when it was made.
+// Known returns the number of requests that the engine was found to run at once; before that, the limit.
+func (slotLimit *SlotLimit) Known() int {
+	if slotLimit.found > 0 {
+		return min(slotLimit.found, slotLimit.Limit())
+	}
+	return slotLimit.Limit()
+}
+
+// Report takes what the engine reports; saturated says that the limit was in use meanwhile. A request waits
+// for the engine's next step even where there is room, so a queue alone does not show that the engine is
+// full: while it is, it runs the same number in each report.
 func (slotLimit *SlotLimit) Report(running, waiting int, saturated bool) {
 	limit := slotLimit.Limit()
-	if waiting > 0 {
-		// With a queue of its own the engine runs all that it can at once.
-		slotLimit.limit = max(slotLimit.Min, min(limit, running), 1)
-		slotLimit.hold = growthHoldReports
+	same := running == slotLimit.running
+	slotLimit.running = running
+	if waiting > 0 && same {
+		slotLimit.full++
+	} else {
+		slotLimit.full = min(waiting, 1)
+	}
+	needed := queuedReports
+	if saturated && waiting*crowdedShare > running {
+		needed = crowdedReports
+	}
+	if slotLimit.full >= needed && running > 0 && running < limit {
+		slotLimit.settle(running)
 		return
 	}
 	if slotLimit.hold > 0 {
 		slotLimit.hold--
 		return
 	}
-	if saturated {
-		slotLimit.limit = min(max(slotLimit.Max, 1), limit+max(1, limit/slotGrowth))
+	if saturated && waiting == 0 {
+		slotLimit.grow(limit)
+	}
+}
+
+// settle takes what a full engine runs as the limit.
+func (slotLimit *SlotLimit) settle(running int) {
+	if running != slotLimit.found {
+		slotLimit.nextHold = firstHold
+	}
+	slotLimit.found, slotLimit.full = running, 0
+	slotLimit.hold = slotLimit.nextHold
+	slotLimit.nextHold = min(2*slotLimit.nextHold, longestHold)
+	slotLimit.limit = max(slotLimit.Min, min(running, slotLimit.Max), 1)
+}
+
+// grow doubles the limit until it was found once, and probes in small steps from then on.
+func (slotLimit *SlotLimit) grow(limit int) {
+	growth := limit
+	if slotLimit.found > 0 {
+		growth = max(1, limit/probeShare)
 	}
+	slotLimit.limit = min(max(slotLimit.Max, 1), limit+growth)
 }
 
 // Latency is what online work saw in one control period.
--- a/internal/fakeengine/server.go
+++ b/internal/fakeengine/server.go
@@ -79,6 +79,18 @@
 	return append([]Run(nil), server.runs...)
 }
 
+// Completed returns the number of requests run to their end whose identifier begins with prefix.
+func (server *Server) Completed(prefix string) (count int) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	for _, run := range server.runs {
+		if run.Completed && strings.HasPrefix(run.RequestID, prefix) {
+			count++
+		}
+	}
+	return count
+}
+
 // CacheHits returns the blocks of prompts found in the prefix cache, and all blocks.
 func (server *Server) CacheHits() (hits, blocks int64) {
 	server.batcher.mutex.Lock()
--- a/internal/processes/fleet_test.go
+++ b/internal/processes/fleet_test.go
@@ -173,13 +173,13 @@
 func (fleet *fleet) startPlatform(flags ...string) {
 	address := fleet.freeAddress("tcp")
 	fleet.start(&process{name: "platform", role: "fakeplatform", address: address, arguments: append([]string{"--listen", address}, flags...)})
-	fleet.await("the platform", func() bool { return fleet.ok(http.MethodGet, address, "/calls") })
+	fleet.await("the platform", func() bool { return fleet.ok(address, "/calls") })
 }
 
 func (fleet *fleet) startEngine(name string, flags ...string) (address string) {
 	address = fleet.freeAddress("tcp")
 	fleet.start(&process{name: name, role: "fakeengine", address: address, arguments: append([]string{"--listen", address, "--name", name}, flags...)})
-	fleet.await(name, func() bool { return fleet.ok(http.MethodGet, address, "/metrics") })
+	fleet.await(name, func() bool { return fleet.ok(address, "/metrics") })
 	return address
 }
 
@@ -231,11 +231,11 @@
 	entry.Listen = fleet.freeAddress("tcp")
 	entry.OperatorKeys = []string{config.KeyDigest(operatorKey)}
 	fleet.start(&process{name: name, role: "cowslipway", address: entry.Listen, arguments: []string{"entry", "--settings", fleet.writeJSON(name+".json", entry)}})
-	fleet.await(name, func() bool { return fleet.ok(http.MethodGet, entry.Listen, "/healthz") })
+	fleet.await(name, func() bool { return fleet.ok(entry.Listen, "/healthz") })
 }
 
-func (fleet *fleet) ok(method, address, path string) bool {
-	request, err := http.NewRequest(method, "http://"+address+path, nil)
+func (fleet *fleet) ok(address, path string) bool {
+	request, err := http.NewRequest(http.MethodGet, "http://"+address+path, nil)
 	must(fleet.t, err)
 	response, err := fleet.client.Do(request)
 	if err != nil {
@@ -267,9 +267,9 @@
 	return addresses
 }
 
-// runs returns how often each prompt was run to its end, by the engines' own records.
-func (fleet *fleet) runs() (begun, completed map[uint64]int) {
-	begun, completed = map[uint64]int{}, map[uint64]int{}
+// runs returns how often the engines began to run each prompt, by their own records.
+func (fleet *fleet) runs() (begun map[uint64]int) {
+	begun = map[uint64]int{}
 	for _, process := range fleet.processes {
 		if process.role != "fakeengine" {
 			continue
@@ -284,12 +284,9 @@
 		must(fleet.t, err)
 		for _, run := range runs {
 			begun[run.Prompt]++
-			if run.Completed {
-				completed[run.Prompt]++
-			}
 		}
 	}
-	return begun, completed
+	return begun
 }
 
 func words(text string) []string { return strings.Fields(text) }
--- a/internal/processes/script_test.go
+++ b/internal/processes/script_test.go
@@ -106,7 +106,7 @@
 		process := fleet.processes[runner.word("name", "")]
 		fleet.start(process)
 		if process.role == "fakeengine" {
-			fleet.await(process.name, func() bool { return fleet.ok(http.MethodGet, process.address, "/metrics") })
+			fleet.await(process.name, func() bool { return fleet.ok(process.address, "/metrics") })
 		}
 	case "exited":
 		process := fleet.processes[runner.word("name", "")]
@@ -159,7 +159,7 @@
 					connected++
 				}
 			}
-			return ok && connected == want && runner.fleet.ok(http.MethodGet, address, "/readyz")
+			return ok && connected == want && runner.fleet.ok(address, "/readyz")
 		})
 	}
 }
@@ -332,7 +332,7 @@
 	if runner.data.HasArg("async") {
 		go runner.call(runner.entry(), http.MethodPost, "/services/"+plainService+"/send", callerKey, header, []byte(text))
 		runner.fleet.await("the notice to begin", func() bool {
-			begun, _ := runner.fleet.runs()
+			begun := runner.fleet.runs()
 			return begun[xxhash.Sum64String(text)] > 0
 		})
 		return "ok\n"
@@ -344,7 +344,7 @@
 
 // ran tells how often the engines began to run a text, by their own records.
 func (runner *runner) ran() string {
-	begun, _ := runner.fleet.runs()
+	begun := runner.fleet.runs()
 	return fmt.Sprintf("%d\n", begun[xxhash.Sum64String(runner.word("text", "notice"))])
 }
 
@@ -496,7 +496,7 @@
 func (runner *runner) quiet() string {
 	job := runner.jobs[runner.word("job", "j")]
 	begun := func() int {
-		runs, _ := runner.fleet.runs()
+		runs := runner.fleet.runs()
 		total := 0
 		for _, count := range runs {
 			total += count
--- a/io/process/entry/metrics.go
+++ b/io/process/entry/metrics.go
@@ -18,6 +18,18 @@
 	badInput expvar.Map // by kind
 }
 
+// Stats are counters of one entry since its start.
+type Stats struct {
+	Requests int64
+	Attempts int64
+	Retries  int64
+}
+
+// Stats returns the entry's counters.
+func (entry *Entry) Stats() Stats {
+	return Stats{Requests: entry.metrics.requests.Value(), Attempts: entry.metrics.attempts.Value(), Retries: entry.metrics.retries.Value()}
+}
+
 var publishOnce sync.Once
 
 func (metrics *metrics) init() {
--- a/io/process/settings/settings.go
+++ b/io/process/settings/settings.go
@@ -125,7 +125,7 @@
 
 // DefaultEngineTarget returns the values of what an engine target's settings leave out.
 func DefaultEngineTarget() EngineTarget {
-	return EngineTarget{Type: config.ModelService, MinSlots: 1, StartSlots: 8, MaxSlots: 256}
+	return EngineTarget{Type: config.ModelService, MinSlots: 1, StartSlots: 32, MaxSlots: 256}
 }
 
 // ReadEntry reads the settings of an entry; the error is of type config.FieldErrors.
--- a/io/process/target/attempt.go
+++ b/io/process/target/attempt.go
@@ -22,6 +22,7 @@
 
 const (
 	copyChunkBytes  = 32 << 10
+	bytesPerToken   = 4         // of a prompt, until the engine tells the true count
 	maxUsageBytes   = 256 << 10 // of an answer in which the count of tokens is looked for
 	maxResumes      = 2
 	defaultRetry    = 500 * time.Millisecond
@@ -160,6 +161,7 @@
 // queue waits for the gate's decision; a caller that gives up before it has not run.
 func (execution *execution) queue(ctx context.Context) (end peer.End, refused bool) {
 	attempt := execution.attempt
+	execution.tokens = int64(len(execution.body) / bytesPerToken)
 	execution.work = gate.Work{
 		ID:          attempt.AttemptID,
 		Account:     attempt.Account,
@@ -348,7 +350,9 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			execution.tokens = gjson.GetBytes(seen, "usage.total_tokens").Int()
+			if total := gjson.GetBytes(seen, "usage.total_tokens"); total.Exists() {
+				execution.tokens = total.Int()
+			}
 			return nil
 		}
 		if err != nil {
