gate: pace the prompts that batch brings beside online work

Cause: a crowd of batch prompts is processed before the prompt of an online request that comes after it (31 admitted at once: 150 ms of prefill at 512 tokens a step). Change: while online work runs, batch brings at most 20,000 tokens of prompts a second to an engine, less while first tokens come later than their target; load varies its answers' lengths, since equal ones finish together and make waits that real work does not have.

--- a/core/coordination/gate/gate.go
+++ b/core/coordination/gate/gate.go
@@ -17,6 +17,7 @@
 	Entry       string // who sent it
 	Class       request.Class
 	Tokens      int64 // estimate of what it costs
+	Prompt      int64 // tokens of the prompt
 	Weight      float64
 	Expires     time.Time
 	Preemptible bool
@@ -54,27 +55,29 @@
 type Gate struct {
 	Slots         SlotLimit
 	BatchLimit    BatchLimit
+	Prefill       PrefillPace
 	Grants        Grants
 	MaxPerAccount int // online items queued for one account
 	MaxQueued     int // online items queued in all
 
-	queue     fair.Queue[Work]
-	shares    shares
-	suspects  []Work // wait until the suspect that runs has ended
-	isolated  string // the suspect that runs
-	running   map[string]*run
-	online    int
-	batch     int // preempted work not counted: its slot is given away already
-	pinned    int // batch work that can not be preempted
-	sequence  uint64
-	meanRun   time.Duration
-	draining  bool
-	foreign   int // requests at the engine that are not the gate's
-	learned   bool
-	peakOwn   int // most requests in flight since the report before the last
-	lastOwn   int
-	actions   []Action
-	suspended bool // engine is not answering
+	queue      fair.Queue[Work]
+	shares     shares
+	suspects   []Work // wait until the suspect that runs has ended
+	isolated   string // the suspect that runs
+	running    map[string]*run
+	online     int
+	batch      int // preempted work not counted: its slot is given away already
+	pinned     int // batch work that can not be preempted
+	sequence   uint64
+	meanRun    time.Duration
+	meanPrompt int64 // tokens in the prompt of a batch item
+	draining   bool
+	foreign    int // requests at the engine that are not the gate's
+	learned    bool
+	peakOwn    int // most requests in flight since the report before the last
+	lastOwn    int
+	actions    []Action
+	suspended  bool // engine is not answering
 }
 
 type run struct {
@@ -119,10 +122,14 @@
 	if gate.batchRoom() <= 0 || !work.Preemptible && gate.pinned >= gate.pinnedLimit() || work.Suspect && gate.isolated != "" {
 		return gate.refuse(work.ID, request.ReasonPreempted, 0)
 	}
+	gate.Prefill.Take(now, work.Prompt)
+	gate.meanPrompt += (work.Prompt - gate.meanPrompt) / meanPromptParts
 	gate.admit(now, work)
 	return gate.actions
 }
 
+const meanPromptParts = 8 // one part in so many of the moving average is the newest prompt
+
 // Finish records that running work has ended with its true cost in tokens.
 func (gate *Gate) Finish(now time.Time, id string, tokens int64) []Action {
 	gate.actions = gate.actions[:0]
@@ -160,7 +167,8 @@
 	own := len(gate.running)
 	gate.foreign = max(0, running+waiting-max(gate.peakOwn, gate.lastOwn, own))
 	saturated := gate.lastOwn+gate.foreign >= gate.Slots.Limit()
-	gate.Slots.Report(running, waiting, saturated)
+	gently := gate.online > 0 && gate.batch > 0
+	gate.Slots.Report(running, waiting, saturated, gently)
 	gate.lastOwn, gate.peakOwn = gate.peakOwn, own
 	gate.fill(now)
 	return gate.actions
@@ -180,6 +188,9 @@
 	gate.Grants.Expire(now)
 	gate.shares.sweep(now)
 	gate.BatchLimit.Observe(latency, gate.online, gate.batch, gate.Slots.Limit())
+	if latency.Samples > 0 {
+		gate.Prefill.Adapt(now, over(latency.FirstToken, gate.BatchLimit.FirstTokenTarget, 1))
+	}
 	for gate.batch > gate.batchLimit() {
 		if !gate.preempt() {
 			break
@@ -218,6 +229,10 @@
 	}
 	gate.Grants.Expire(now)
 	free := min(backlog-gate.Grants.OpenOf(entry), gate.batchRoom()-gate.Grants.Open())
+	if gate.online > 0 && free > 0 {
+		open := gate.Grants.Open()
+		free = gate.Prefill.Room(now, gate.meanPrompt, free+open) - open
+	}
 	if free <= 0 {
 		return Grant{}, false
 	}
--- a/core/coordination/gate/limit.go
+++ b/core/coordination/gate/limit.go
@@ -3,6 +3,7 @@
 import "time"
 
 const (
+	gentleShare    = 8   // the limit grows by one part in so many while batch work fills it beside online work
 	probeShare     = 32  // the limit is probed upwards by one part in so many, once it was too high
 	firstHold      = 20  // reports between finding the limit and the first probe upwards
 	longestHold    = 600 // reports; each probe that fails doubles the time to the next
@@ -42,8 +43,9 @@
 
 // Report takes what the engine reports; saturated says that the limit was in use meanwhile. A request waits
 // for the engine's next step even where there is room, so a queue alone does not show that the engine is
-// full: while it is, it runs the same number in each report.
-func (slotLimit *SlotLimit) Report(running, waiting int, saturated bool) {
+// full: while it is, it runs the same number in each report. gently says that online work would suffer from
+// a limit that is far too high.
+func (slotLimit *SlotLimit) Report(running, waiting int, saturated, gently bool) {
 	limit := slotLimit.Limit()
 	same := running == slotLimit.running
 	slotLimit.running = running
@@ -65,7 +67,7 @@
 		return
 	}
 	if saturated && waiting == 0 {
-		slotLimit.grow(limit)
+		slotLimit.grow(limit, gently)
 	}
 }
 
@@ -81,10 +83,13 @@
 }
 
 // grow doubles the limit until it was found once, and probes in small steps from then on.
-func (slotLimit *SlotLimit) grow(limit int) {
+func (slotLimit *SlotLimit) grow(limit int, gently bool) {
 	growth := limit
-	if slotLimit.found > 0 {
+	switch {
+	case slotLimit.found > 0:
 		growth = max(1, limit/probeShare)
+	case gently:
+		growth = max(1, limit/gentleShare)
 	}
 	slotLimit.limit = min(max(slotLimit.Max, 1), limit+growth)
 }
--- a/internal/load/plan.go
+++ b/internal/load/plan.go
@@ -29,7 +29,8 @@
 	Prefixes    int             `json:"prefixes"`     // different beginnings of prompts; 0 makes every prompt new
 	PrefixBytes int             `json:"prefix_bytes"` // in common
 	PromptBytes int             `json:"prompt_bytes"` // of its own
-	MaxTokens   int             `json:"max_tokens"`
+	MaxTokens   int             `json:"max_tokens"`   // on average
+	Vary        bool            `json:"vary"`         // lets the tokens of a request range from half to one and a half times that
 	Timeout     config.Duration `json:"timeout"`
 	Burst       *Burst          `json:"burst,omitempty"`
 	RequestID   string          `json:"request_id,omitempty"` // begins the X-Request-Id, for an engine's record
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -94,7 +94,7 @@
 	body, err := json.Marshal(map[string]any{
 		"model":      class.Model,
 		"stream":     class.Stream,
-		"max_tokens": class.MaxTokens,
+		"max_tokens": class.tokens(i),
 		"messages": []map[string]string{
 			{"role": "system", "content": prefix},
 			{"role": "user", "content": filler(fmt.Sprintf("%s %d ", class.Name, i), class.PromptBytes)},
@@ -106,6 +106,15 @@
 	return body
 }
 
+// tokens returns the tokens that request number i asks for.
+func (class Class) tokens(i int) int {
+	if !class.Vary {
+		return class.MaxTokens
+	}
+	random := rand.New(rand.NewPCG(uint64(i), 0))
+	return class.MaxTokens/2 + random.IntN(class.MaxTokens+1)
+}
+
 func filler(text string, size int) string {
 	if size <= 0 {
 		return ""
--- a/io/process/settings/settings.go
+++ b/io/process/settings/settings.go
@@ -67,15 +67,16 @@
 
 // EngineTarget is one engine or plain service behind a target daemon.
 type EngineTarget struct {
-	Name        string             `json:"name"`
-	Service     string             `json:"service"`
-	Type        config.ServiceType `json:"type"`
-	Address     string             `json:"address"` // base URL
-	MinSlots    int                `json:"min_slots"`
-	StartSlots  int                `json:"start_slots"`
-	MaxSlots    int                `json:"max_slots"`
-	MaxSlowdown float64            `json:"max_slowdown"` // of online token gaps through batch work; 0 sets no bound
-	ChecksFence bool               `json:"checks_fence"` // the engine refuses orders with an old fencing token
+	Name         string             `json:"name"`
+	Service      string             `json:"service"`
+	Type         config.ServiceType `json:"type"`
+	Address      string             `json:"address"` // base URL
+	MinSlots     int                `json:"min_slots"`
+	StartSlots   int                `json:"start_slots"`
+	MaxSlots     int                `json:"max_slots"`
+	BatchPrefill float64            `json:"batch_prefill"` // tokens of prompts a second that batch work may bring beside online work
+	MaxSlowdown  float64            `json:"max_slowdown"`  // of online token gaps through batch work; 0 sets no bound
+	ChecksFence  bool               `json:"checks_fence"`  // the engine refuses orders with an old fencing token
 }
 
 // Target is the settings of a target daemon.
@@ -125,7 +126,7 @@
 
 // DefaultEngineTarget returns the values of what an engine target's settings leave out.
 func DefaultEngineTarget() EngineTarget {
-	return EngineTarget{Type: config.ModelService, MinSlots: 1, StartSlots: 32, MaxSlots: 256}
+	return EngineTarget{Type: config.ModelService, MinSlots: 1, StartSlots: 32, MaxSlots: 256, BatchPrefill: 20000}
 }
 
 // ReadEntry reads the settings of an entry; the error is of type config.FieldErrors.
@@ -162,6 +163,9 @@
 	if target.StartSlots == 0 {
 		target.StartSlots = defaults.StartSlots
 	}
+	if target.BatchPrefill == 0 {
+		target.BatchPrefill = defaults.BatchPrefill
+	}
 	if target.MaxSlots == 0 {
 		target.MaxSlots = defaults.MaxSlots
 	}
@@ -249,6 +253,7 @@
 		checker.inRange(where+"min_slots", float64(engine.MinSlots), 1, 4096)
 		checker.inRange(where+"start_slots", float64(engine.StartSlots), float64(engine.MinSlots), float64(engine.MaxSlots))
 		checker.inRange(where+"max_slots", float64(engine.MaxSlots), float64(engine.MinSlots), 4096)
+		checker.inRange(where+"batch_prefill", engine.BatchPrefill, 1, 1e9)
 		if engine.MaxSlowdown != 0 {
 			checker.inRange(where+"max_slowdown", engine.MaxSlowdown, 1.001, 100)
 		}
--- a/io/process/target/attempt.go
+++ b/io/process/target/attempt.go
@@ -168,6 +168,7 @@
 		Entry:       attempt.Entry,
 		Class:       attempt.Class,
 		Tokens:      attempt.Tokens,
+		Prompt:      execution.tokens,
 		Weight:      attempt.Weight,
 		Expires:     execution.begun.Add(attempt.Remaining),
 		Preemptible: attempt.Idempotent,
--- a/io/process/target/daemon.go
+++ b/io/process/target/daemon.go
@@ -105,6 +105,7 @@
 			Start: engineTarget.StartSlots,
 		},
 		BatchLimit:    gate.BatchLimit{MaxSlowdown: engineTarget.MaxSlowdown},
+		Prefill:       gate.PrefillPace{TokensPerSecond: engineTarget.BatchPrefill},
 		Grants:        gate.Grants{NextID: uint64(time.Now().UnixNano())},
 		MaxPerAccount: daemon.Settings.MaxPerAccount,
 		MaxQueued:     daemon.Settings.MaxQueued,
