--- a/core/coordination/gate/gate.go
+++ b/core/coordination/gate/gate.go
@@ -205,8 +205,7 @@
 	gate.actions = gate.actions[:0]
 	gate.draining = true
 	gate.refuseQueued(request.ReasonDraining)
-	for gate.preempt() {
-	}
+	gate.preemptDownTo(0)
 	return gate.actions
 }
 
@@ -270,6 +269,10 @@
 	if !gate.learned || gate.suspended {
 		return
 	}
+	if gate.online > 0 {
+		// The limit may have fallen since batch work was admitted.
+		gate.preemptDownTo(gate.known())
+	}
 	for gate.queue.Len() > 0 && gate.makeRoom() {
 		work, _ := gate.queue.Pop()
 		if work.Suspect && gate.isolated != "" {
@@ -284,19 +287,24 @@
 // the engine was found to run; only batch work tries more than that, and makes way first. The last free slots
 // are kept for accounts that have less than their share.
 func (gate *Gate) makeRoom() (ok bool) {
-	limit := max(1, gate.Slots.Known()-gate.foreign)
-	if gate.online >= limit {
-		return false
-	}
+	limit := gate.known()
 	account, _ := gate.queue.NextAccount()
-	if limit-gate.online <= gate.shareReserve(limit) && gate.shares.exceeds(account, limit) {
+	reserved := limit-gate.online <= gate.shareReserve(limit) && gate.shares.exceeds(account, limit)
+	if gate.online >= limit || reserved {
+		// Whatever online work waits for, it is not batch work.
+		gate.preemptDownTo(0)
 		return false
 	}
-	for gate.online+gate.batch >= limit && gate.preempt() {
-	}
+	gate.preemptDownTo(limit - 1)
 	return true
 }
 
+// preemptDownTo takes slots from batch work until no more than total are in use, or none can be taken.
+func (gate *Gate) preemptDownTo(total int) {
+	for gate.online+gate.batch > total && gate.preempt() {
+	}
+}
+
 const shareReserveShare = 16 // one slot in so many is kept for accounts under their share
 
 func (gate *Gate) shareReserve(limit int) int {
@@ -415,7 +423,7 @@
 	}
 	limit := gate.limit()
 	if gate.online > 0 {
-		known := max(1, gate.Slots.Known()-gate.foreign)
+		known := gate.known()
 		limit = min(limit, known-known/onlineReserveShare)
 	}
 	return min(gate.batchLimit(), limit-gate.online) - gate.batch
@@ -448,3 +456,6 @@
 	ahead := min(gate.queue.Len(), (gate.queue.LenOf(account)+1)*gate.queue.Accounts())
 	return time.Duration(ahead) * gate.meanRun / time.Duration(gate.limit())
 }
+
+// known returns how many requests the engine was found to run at once beside those of others.
+func (gate *Gate) known() int { return max(1, gate.Slots.Known()-gate.foreign) }
--- a/io/process/entry/dispatch.go
+++ b/io/process/entry/dispatch.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/juju/errors"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
@@ -199,13 +200,22 @@
 		passOn(answer, receiver)
 	}
 	outcome = answer.Outcome()
-	if ctx.Err() != nil && outcome.Reason == request.ReasonTargetLost {
-		// The target did not answer the cancel in time; that says nothing about its health.
-		outcome.Reason = request.ReasonDeadline
-	}
+	outcome.Reason = endReason(ctx, outcome.Reason)
 	return outcome, answer.End()
 }
 
+// endReason returns why an attempt ended. When the caller's time is over, entry and target stop the attempt
+// side by side, and a target that does not answer the cancel in time need not be lost.
+func endReason(ctx context.Context, told request.Reason) request.Reason {
+	if ctx.Err() == nil || told != request.ReasonTargetLost && told != request.ReasonCancelled {
+		return told
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return request.ReasonDeadline
+	}
+	return request.ReasonCancelled
+}
+
 func passOn(answer *peer.AnswerStream, receiver receiver) {
 	for {
 		data, err := answer.Next()
--- a/io/protocol/caller/completion.go
+++ b/io/protocol/caller/completion.go
@@ -39,10 +39,12 @@
 	if !messages.IsArray() && !prompt.Exists() {
 		return completion, BadInput(http.StatusBadRequest, "missing_prompt", "\"messages\" or \"prompt\" is missing")
 	}
-	wanted := max(limit.Int(), otherLimit.Int())
-	if wanted < 0 || wanted > maxTokens {
-		return completion, BadInput(http.StatusBadRequest, "invalid_max_tokens", "\"max_tokens\" is %d; up to %d are allowed", wanted, maxTokens)
+	for _, field := range []gjson.Result{limit, otherLimit} {
+		if field.Exists() && (field.Int() < 1 || field.Int() > maxTokens) {
+			return completion, BadInput(http.StatusBadRequest, "invalid_max_tokens", "\"max_tokens\" is %s; 1 to %d are allowed", field.Raw, maxTokens)
+		}
 	}
+	wanted := max(limit.Int(), otherLimit.Int())
 	if wanted == 0 {
 		wanted = defaultMaxTokens
 	}
