--- a/io/process/cli/commands.go
+++ b/io/process/cli/commands.go
@@ -79,6 +79,12 @@
 			return &cancelCommand{server: newServer(ctx, cli)}
 		},
 	},
+	{
+		name:  "order",
+		short: "Give an order to the engine of a target",
+		long:  "Reads the order's JSON body from a file, records it under the next epoch of the target's placement and sends it with the epoch as fencing token.",
+		make:  func(ctx context.Context, cli *CLI) flags.Commander { return &orderCommand{server: newServer(ctx, cli)} },
+	},
 	{
 		name:  "drain",
 		short: "Let a target daemon take no new work",
--- a/io/process/cli/operate.go
+++ b/io/process/cli/operate.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"path/filepath"
 
 	"github.com/juju/errors"
 
@@ -184,3 +185,26 @@
 func (command *drainCommand) Execute([]string) (err error) {
 	return command.client().Drain(command.ctx, command.Arguments.Daemon, command.End)
 }
+
+type orderCommand struct {
+	server
+
+	Target    string `long:"target" required:"true" value-name:"NAME"`
+	Path      string `long:"path" required:"true" value-name:"PATH" description:"on the engine, such as /v1/load_lora_adapter"`
+	Arguments struct {
+		File string `positional-arg-name:"FILE" required:"true"`
+	} `positional-args:"true"`
+}
+
+// Execute runs the command.
+func (command *orderCommand) Execute([]string) (err error) {
+	body, err := os.ReadFile(filepath.Clean(command.Arguments.File))
+	if err != nil {
+		return errors.Annotate(err, "reading the order")
+	}
+	answer, err := command.client().Order(command.ctx, command.Target, operator.OrderRequest{Path: command.Path, Body: body})
+	if err != nil {
+		return err
+	}
+	return command.print(answer)
+}
--- a/io/process/entry/fleet.go
+++ b/io/process/entry/fleet.go
@@ -15,6 +15,18 @@
 	entries  []Presence
 }
 
+// target returns the target called name.
+func (fleet *fleet) target(name string) (view *targetView, ok bool) {
+	for _, views := range fleet.services {
+		for _, view := range views {
+			if view.name == name {
+				return view, true
+			}
+		}
+	}
+	return nil, false
+}
+
 // targetView is one target; its load and the work on it change in place.
 type targetView struct {
 	name        string
--- a/io/process/entry/operate.go
+++ b/io/process/entry/operate.go
@@ -12,6 +12,7 @@
 
 	"cowslipway/core/state/config"
 	"cowslipway/core/state/job"
+	"cowslipway/core/state/placement"
 	"cowslipway/core/state/request"
 	"cowslipway/io/protocol/caller"
 	"cowslipway/io/protocol/operator"
@@ -27,6 +28,7 @@
 	app.Get("/operator/v1/status", entry.operated(entry.status))
 	app.Get("/operator/v1/where/{id}", entry.operated(entry.where))
 	app.Post("/operator/v1/jobs/{account}/{id}/cancel", entry.operated(entry.cancelAnyJob))
+	app.Post("/operator/v1/targets/{target}/orders", entry.operated(entry.giveOrder))
 	app.Post("/operator/v1/daemons/{name}/drain", entry.operated(entry.drainDaemon))
 	app.Delete("/operator/v1/daemons/{name}/drain", entry.operated(entry.drainDaemon))
 }
@@ -239,6 +241,64 @@
 	return entry.cancelJob(session, record.Value)
 }
 
+// giveOrder records the order under the next epoch of the target's placement and passes it to the daemon
+// beside the engine.
+func (entry *Entry) giveOrder(session *session) *caller.Error {
+	body, failure := entry.readBody(session, entry.Settings.MaxBodyBytes)
+	if failure != nil {
+		return failure
+	}
+	var wanted operator.OrderRequest
+	if err := config.DecodeStrict(body, &wanted); err != nil {
+		return caller.BadInput(http.StatusBadRequest, "invalid_json", "%s", err)
+	}
+	if !strings.HasPrefix(wanted.Path, "/") {
+		return caller.BadInput(http.StatusBadRequest, "invalid_path", "\"path\" is %q; a path on the engine is needed", wanted.Path)
+	}
+	name := session.iris.Params().Get("target")
+	view, ok := entry.fleet.Load().target(name)
+	if !ok {
+		return caller.BadInput(http.StatusNotFound, "unknown_target", "there is no target %q", name)
+	}
+	if entry.store == nil {
+		return storeDown(request.NotRun)
+	}
+	next, err := entry.recordOrder(session, name, wanted)
+	if err != nil {
+		return storeFailure(err)
+	}
+	opened := view.daemon.lanes.Load()
+	answer := operator.OrderAnswer{Epoch: next.Order.Epoch, Disposition: request.NotRun.String(), Reason: string(request.ReasonTargetLost)}
+	if opened != nil {
+		told, err := opened.of(request.Online).Ask(session.ctx, peer.Ask{Kind: peer.AskOrder, Target: name, Order: next.Order})
+		answer.Disposition, answer.Reason = told.Outcome.Disposition.String(), string(told.Outcome.Reason)
+		if err != nil {
+			answer.Disposition, answer.Reason = request.MayHaveRun.String(), string(request.ReasonTargetLost)
+		}
+	}
+	return writeJSON(session, answer)
+}
+
+func (entry *Entry) recordOrder(session *session, target string, wanted operator.OrderRequest) (next placement.Placement, err error) {
+	key := platform.PlacementKey(target)
+	current, err := platform.Read[placement.Placement](session.ctx, entry.store, platform.ConfigurationCall, key)
+	if err != nil {
+		return next, err
+	}
+	next = current.Value.WithOrder(wanted.Path, wanted.Body)
+	operation := platform.NewOperation()
+	data, err := platform.Encode(operation, next)
+	if err != nil {
+		return next, err
+	}
+	txn := platform.TxnRequest{
+		Compare: []platform.Compare{platform.Unchanged(key, current.Revision)},
+		Success: []platform.RequestOp{platform.Put(key, data)},
+	}
+	_, err = platform.Commit(session.ctx, entry.store, platform.ConfigurationCall, txn, key, operation)
+	return next, err
+}
+
 // drainDaemon records that a target daemon is to be drained, or with DELETE that it is not any more.
 func (entry *Entry) drainDaemon(session *session) *caller.Error {
 	if entry.store == nil {
--- a/io/process/target/daemon.go
+++ b/io/process/target/daemon.go
@@ -19,6 +19,7 @@
 	"cowslipway/io/process/settings"
 	"cowslipway/io/protocol/engine"
 	"cowslipway/io/protocol/peer"
+	"cowslipway/io/protocol/platform"
 	"cowslipway/io/transport/quic"
 )
 
@@ -42,6 +43,7 @@
 	incarnation    string
 	configurations peer.Configurations
 	record         runs.Record
+	orders         orders
 	targets        map[string]*target
 	control        chan event
 	inFlight       atomic.Int64
@@ -94,6 +96,9 @@
 		daemon.targets[engineTarget.Name] = daemon.newTarget(engineTarget)
 	}
 	daemon.metrics.init()
+	if address := daemon.Settings.Platform.Store; address != "" {
+		daemon.orders.Store = platform.NewStore(address, daemon.Settings.Platform.CallsPerSecond)
+	}
 }
 
 func (daemon *Daemon) newTarget(engineTarget settings.EngineTarget) *target {
@@ -151,8 +156,8 @@
 		// An attempt that an earlier incarnation got is beyond what this one can vouch for.
 		answer.Fenced = ask.Incarnation == daemon.incarnation && daemon.record.Fence(ask.AttemptID)
 		answer.Found = daemon.record.Unfinished(ask.AttemptID)
-	case peer.AskConfiguration:
-		answer.Configuration, answer.Found = daemon.configurations.For(0)
+	case peer.AskOrder:
+		return daemon.order(ask)
 	}
 	return answer
 }
--- a/io/process/target/link.go
+++ b/io/process/target/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"io"
 	"time"
 
@@ -24,7 +25,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go writeLink(ctx, link, stream, cancel)
+	go writeLink(ctx, link, &countingWriter{writer: stream, count: &daemon.metrics.control}, cancel)
 	daemon.send(helloEvent{entry: hello.Name, link: link})
 	defer daemon.send(byeEvent{entry: hello.Name, link: link})
 	for ctx.Err() == nil {
@@ -72,6 +73,19 @@
 	daemon.send(configurationEvent{})
 }
 
+// countingWriter counts the bytes that pass through it.
+type countingWriter struct {
+	writer io.Writer
+	count  *expvar.Int
+}
+
+// Write passes data on.
+func (countingWriter *countingWriter) Write(data []byte) (written int, err error) {
+	written, err = countingWriter.writer.Write(data)
+	countingWriter.count.Add(int64(written))
+	return written, err
+}
+
 func writeLink(ctx context.Context, link *link, stream io.Writer, cancel context.CancelFunc) {
 	defer cancel()
 	for {
--- a/io/process/target/metrics.go
+++ b/io/process/target/metrics.go
@@ -19,6 +19,7 @@
 	malformed expvar.Int
 	resumed   expvar.Int
 	cut       expvar.Int
+	control   expvar.Int // bytes of reports and configuration sent
 	refused   expvar.Map
 }
 
@@ -35,6 +36,7 @@
 		published.Set("malformed_streams", &metrics.malformed)
 		published.Set("resumed_streams", &metrics.resumed)
 		published.Set("cut_streams", &metrics.cut)
+		published.Set("control_bytes", &metrics.control)
 		published.Set("refused", &metrics.refused)
 	})
 }
--- /dev/null
+++ b/io/process/target/orders.go
@@ -0,0 +1,90 @@
+package target
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"cowslipway/core/state/placement"
+	"cowslipway/core/state/request"
+	"cowslipway/io/protocol/engine"
+	"cowslipway/io/protocol/peer"
+	"cowslipway/io/protocol/platform"
+)
+
+const orderTimeout = 15 * time.Second
+
+// orders gives the engines behind one daemon their orders, one at a time. Engines that do not check fencing
+// tokens rely on the check here.
+type orders struct {
+	Store *platform.Store // nil refuses every order
+
+	mutex  sync.Mutex
+	fences map[string]*placement.Fence
+}
+
+// give sends order to the engine of target and tells how it ended.
+func (orders *orders) give(ctx context.Context, target *target, order placement.Order) (outcome request.Outcome) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	orders.mutex.Lock()
+	defer orders.mutex.Unlock()
+	fence, err := orders.fence(ctx, target.settings.Name)
+	if err != nil {
+		return request.Outcome{Disposition: request.NotRun, Reason: request.ReasonStoreDown}
+	}
+	if !fence.Admit(order) {
+		return request.Outcome{Disposition: request.NotRun, Reason: request.ReasonStaleVersion}
+	}
+	err = target.client.Order(ctx, engine.Order{Path: order.Path, Body: order.Body, Fence: order.Epoch})
+	switch {
+	case err == nil:
+		return request.Outcome{Disposition: request.Done}
+	case errors.Is(err, engine.ErrFenced):
+		return request.Outcome{Disposition: request.NotRun, Reason: request.ReasonStaleVersion}
+	case errors.Is(err, engine.ErrRefused):
+		return request.Outcome{Disposition: request.NotRun, Reason: request.ReasonEngineLost}
+	}
+	return request.Outcome{Disposition: request.MayHaveRun, Reason: request.ReasonEngineLost}
+}
+
+// fence returns what is known of a target's epochs; after a start it asks the store first.
+func (orders *orders) fence(ctx context.Context, target string) (fence *placement.Fence, err error) {
+	if orders.fences == nil {
+		orders.fences = map[string]*placement.Fence{}
+	}
+	fence, ok := orders.fences[target]
+	if !ok {
+		fence = &placement.Fence{}
+		orders.fences[target] = fence
+	}
+	if fence.Known() {
+		return fence, nil
+	}
+	if orders.Store == nil {
+		return nil, errors.NotFoundf("key-value service in the settings")
+	}
+	record, err := platform.Read[placement.Placement](ctx, orders.Store, platform.ConfigurationCall, platform.PlacementKey(target))
+	if err != nil {
+		return nil, err
+	}
+	fence.Learn(record.Value.Order.Epoch)
+	return fence, nil
+}
+
+// order answers an entry that passes an operator's order on.
+func (daemon *Daemon) order(ask peer.Ask) (answer peer.Answer) {
+	target, ok := daemon.targets[ask.Target]
+	if !ok {
+		answer.Outcome = peer.OutcomeOf(request.Outcome{Disposition: request.NotRun, Reason: request.ReasonWrongService})
+		return answer
+	}
+	outcome := daemon.orders.give(context.Background(), target, ask.Order)
+	daemon.Log.Info("order", zap.String("target", ask.Target), zap.String("path", ask.Order.Path),
+		zap.Int64("epoch", ask.Order.Epoch), zap.Stringer("disposition", outcome.Disposition))
+	answer.Found, answer.Outcome = true, peer.OutcomeOf(outcome)
+	return answer
+}
--- a/io/protocol/engine/client.go
+++ b/io/protocol/engine/client.go
@@ -77,6 +77,11 @@
 	if call.After >= 0 {
 		question.Header.Set(lastEventHeader, strconv.Itoa(call.After))
 	}
+	return client.send(question)
+}
+
+// send sends question; the error's cause is ErrRefused where nobody took the connection.
+func (client *Client) send(question *http.Request) (response *http.Response, err error) {
 	response, err = client.HTTP.Do(question)
 	if err == nil {
 		return response, nil
@@ -149,7 +154,7 @@
 		return err
 	}
 	question.Header.Set(fencingHeader, strconv.FormatInt(order.Fence, 10))
-	response, err := client.HTTP.Do(question)
+	response, err := client.send(question)
 	if err != nil {
 		return err
 	}
--- a/io/protocol/operator/client.go
+++ b/io/protocol/operator/client.go
@@ -101,6 +101,12 @@
 	return client.call(ctx, http.MethodPost, path, nil, nil)
 }
 
+// Order gives an order to the engine of target.
+func (client *Client) Order(ctx context.Context, target string, order OrderRequest) (answer OrderAnswer, err error) {
+	err = client.call(ctx, http.MethodPost, "/operator/v1/targets/"+url.PathEscape(target)+"/orders", order, &answer)
+	return answer, err
+}
+
 // Drain asks a target daemon to take no new work, or with ended to take work again.
 func (client *Client) Drain(ctx context.Context, daemon string, ended bool) (err error) {
 	method := http.MethodPost
--- a/io/protocol/operator/message.go
+++ b/io/protocol/operator/message.go
@@ -1,6 +1,8 @@
 package operator
 
 import (
+	"encoding/json"
+
 	"cowslipway/core/state/config"
 	"cowslipway/io/protocol/peer"
 )
@@ -19,6 +21,19 @@
 	Diff     string `json:"diff,omitempty"` // from the version seen to the one in force
 }
 
+// OrderRequest asks to give an order to the engine of a target.
+type OrderRequest struct {
+	Path string          `json:"path"` // on the engine, such as /v1/load_lora_adapter
+	Body json.RawMessage `json:"body"`
+}
+
+// OrderAnswer tells what became of an order; it stands in the store all the same.
+type OrderAnswer struct {
+	Epoch       int64  `json:"epoch"`
+	Disposition string `json:"disposition"`
+	Reason      string `json:"reason,omitempty"`
+}
+
 // Daemon is one process and the version of its configuration.
 type Daemon struct {
 	Name    string `json:"name"`
--- a/io/protocol/peer/client.go
+++ b/io/protocol/peer/client.go
@@ -15,6 +15,7 @@
 const (
 	cancelWait    = 200 * time.Millisecond
 	askTimeout    = 2 * time.Second
+	orderTimeout  = 16 * time.Second // an engine may take its time
 	openTimeout   = time.Second
 	bodyFrameSize = 64 << 10 // bytes
 )
@@ -184,7 +185,11 @@
 // Ask puts a question and waits for the answer.
 func (client *Client) Ask(ctx context.Context, ask Ask) (answer Answer, err error) {
 	defer func() { err = errors.Annotatef(err, "asking about %q", ask.RequestID) }()
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	timeout := askTimeout
+	if ask.Kind == AskOrder {
+		timeout = orderTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	stream, err := client.Connection.OpenStreamSync(ctx)
 	if err != nil {
--- a/io/protocol/peer/message.go
+++ b/io/protocol/peer/message.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"cowslipway/core/state/placement"
 	"cowslipway/core/state/request"
 )
 
@@ -142,24 +143,37 @@
 	AskWhere AskKind = iota + 1
 	// AskFence asks to make sure that an attempt never runs from now on.
 	AskFence
-	// AskConfiguration asks for the newest configuration that the peer knows.
-	AskConfiguration
+	// AskOrder passes an operator's order to the engine of a target on.
+	AskOrder
 )
 
 // Ask is a question to a daemon.
 type Ask struct {
-	Kind        AskKind `msgpack:"kind"`
-	RequestID   string  `msgpack:"request"`
-	AttemptID   string  `msgpack:"attempt"`
-	Incarnation string  `msgpack:"incarnation"`
+	Kind        AskKind         `msgpack:"kind"`
+	RequestID   string          `msgpack:"request"`
+	AttemptID   string          `msgpack:"attempt"`
+	Incarnation string          `msgpack:"incarnation"`
+	Target      string          `msgpack:"target"`
+	Order       placement.Order `msgpack:"order"`
 }
 
 // Answer is what a daemon says to an Ask.
 type Answer struct {
-	Found         bool          `msgpack:"found"`
-	Fenced        bool          `msgpack:"fenced"` // the attempt never ran here and never will
-	Runs          []Run         `msgpack:"runs"`
-	Configuration Configuration `msgpack:"configuration"`
+	Found   bool    `msgpack:"found"`
+	Fenced  bool    `msgpack:"fenced"` // the attempt never ran here and never will
+	Runs    []Run   `msgpack:"runs"`
+	Outcome Outcome `msgpack:"outcome"` // of an order
+}
+
+// Outcome is how an order ended.
+type Outcome struct {
+	Disposition request.Disposition `msgpack:"disposition"`
+	Reason      request.Reason      `msgpack:"reason"`
+}
+
+// OutcomeOf returns outcome as it is sent.
+func OutcomeOf(outcome request.Outcome) Outcome {
+	return Outcome{Disposition: outcome.Disposition, Reason: outcome.Reason}
 }
 
 // Run is one line of a daemon's record of runs.
