--- a/core/coordination/gate/limit.go
+++ b/core/coordination/gate/limit.go
@@ -3,13 +3,14 @@
 import "time"
 
 const (
-	gentleShare    = 8   // the limit grows by one part in so many while batch work fills it beside online work
-	probeShare     = 32  // the limit is probed upwards by one part in so many, once it was too high
-	firstHold      = 20  // reports between finding the limit and the first probe upwards
-	longestHold    = 600 // reports; each probe that fails doubles the time to the next
-	queuedReports  = 4   // in a row that show the same full engine, from which on it counts as full
-	crowdedReports = 2   // likewise where its queue is long
-	crowdedShare   = 4   // a queue is long from one part in so many of what runs
+	gentleShare    = 8    // the limit grows by one part in so many while batch work fills it beside online work
+	probeShare     = 32   // the limit is probed upwards by one part in so many, once it was too high
+	firstHold      = 20   // reports between finding the limit and the first probe upwards
+	longestHold    = 600  // reports; each probe that fails doubles the time to the next
+	queuedReports  = 4    // in a row that show the same full engine, from which on it counts as full
+	crowdedReports = 2    // likewise where its queue is long
+	peakFade       = 0.99 // of the most seen running, from one report to the next
+	crowdedShare   = 4    // a queue is long from one part in so many of what runs
 )
 
 // SlotLimit learns how many requests an engine runs at once without queueing them itself.
@@ -21,8 +22,9 @@
 	found    int // the last limit found to be full, 0 before the first
 	hold     int // reports until the next probe upwards
 	nextHold int
-	full     int // reports in a row that showed a queue and the same number running
-	running  int // in the last report
+	full     int     // reports in a row that showed a queue and the same number running
+	running  int     // in the last report
+	peak     float64 // most seen running, fading slowly
 }
 
 // Limit returns the number of requests that may be at the engine.
@@ -43,12 +45,16 @@
 
 // Report takes what the engine reports; saturated says that the limit was in use meanwhile. A request waits
 // for the engine's next step even where there is room, so a queue alone does not show that the engine is
-// full: while it is, it runs the same number in each report. gently says that online work would suffer from
+// full: while it is, it runs the same number in each report, and never was seen to run more. gently says that online work would suffer from
 // a limit that is far too high.
 func (slotLimit *SlotLimit) Report(running, waiting int, saturated, gently bool) {
 	limit := slotLimit.Limit()
 	same := running == slotLimit.running
 	slotLimit.running = running
+	slotLimit.peak = max(float64(running), slotLimit.peak*peakFade)
+	if running > slotLimit.found && slotLimit.found > 0 {
+		slotLimit.found = running
+	}
 	if waiting > 0 && same {
 		slotLimit.full++
 	} else {
@@ -58,7 +64,7 @@
 	if saturated && waiting*crowdedShare > running {
 		needed = crowdedReports
 	}
-	if slotLimit.full >= needed && running > 0 && running < limit {
+	if slotLimit.full >= needed && running >= int(slotLimit.peak) && running > 0 && running < limit {
 		slotLimit.settle(running)
 		return
 	}
--- a/internal/fakeengine/server.go
+++ b/internal/fakeengine/server.go
@@ -18,6 +18,8 @@
 	maxBodyBytes     = 16 << 20
 	poisonMark       = "POISON" // a prompt with it crashes the engine
 	brokenMark       = "BROKEN" // a prompt with it is refused by the engine
+	slowMark         = "SLOW"   // a plain request with it takes slowTime
+	slowTime         = 30 * time.Second
 )
 
 // Run is the engine's own record of one request, for observers apart from the system.
@@ -237,6 +239,13 @@
 	if strings.Contains(string(body), poisonMark) {
 		panic(http.ErrAbortHandler)
 	}
+	if strings.Contains(string(body), slowMark) {
+		select {
+		case <-call.Context().Done():
+			return
+		case <-time.After(slowTime):
+		}
+	}
 	writer.Header().Set("Content-Type", "application/octet-stream")
 	_, _ = fmt.Fprintf(writer, "%s %s %d bytes\n", call.Method, call.URL.Path, len(body))
 	_, _ = writer.Write(body)
--- a/internal/processes/script_test.go
+++ b/internal/processes/script_test.go
@@ -92,6 +92,8 @@
 		return runner.notice()
 	case "ran":
 		return runner.ran()
+	case "ran_most":
+		return runner.ranMost()
 	case "batch":
 		return runner.batch()
 	case "await":
@@ -338,6 +340,9 @@
 		return "ok\n"
 	}
 	status, answer, headers := runner.call(runner.entry(), http.MethodPost, "/services/"+plainService+"/send", callerKey, header, []byte(text))
+	if runner.data.HasArg("disposition") {
+		return headers.Get(caller.DispositionHeader) + "\n"
+	}
 	line := fmt.Sprintf("%d %s %s", status, headers.Get(caller.DispositionHeader), gjson.GetBytes(answer, "error.code").Str)
 	return strings.TrimSpace(line) + "\n"
 }
@@ -348,6 +353,15 @@
 	return fmt.Sprintf("%d\n", begun[xxhash.Sum64String(runner.word("text", "notice"))])
 }
 
+// ranMost tells how often the engines began to run whatever they ran most often.
+func (runner *runner) ranMost() string {
+	most := 0
+	for _, count := range runner.fleet.runs() {
+		most = max(most, count)
+	}
+	return fmt.Sprintf("%d\n", most)
+}
+
 // batch sends a job; sent again, it must be the same job.
 func (runner *runner) batch() string {
 	name := runner.word("job", "j")
--- a/io/protocol/peer/peer_test.go
+++ b/io/protocol/peer/peer_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/juju/errors"
 
+	"cowslipway/core/state/config"
 	"cowslipway/core/state/request"
 	"cowslipway/io/transport/quic"
 )
@@ -222,3 +223,46 @@
 	}
 	slow.Interrupt()
 }
+
+// TestVersions spreads versions between two peers in any order: neither ever goes back.
+func TestVersions(t *testing.T) {
+	version := func(number int64, names ...string) config.Configuration {
+		made := config.Configuration{Version: number}
+		for _, name := range names {
+			made.Services = append(made.Services, config.Service{Name: name, Places: []string{"a"}})
+		}
+		return made.Indexed()
+	}
+	ahead, behind := &Configurations{}, &Configurations{}
+	ahead.Adopt(version(1, "x"))
+	whole, _ := ahead.For(0)
+	ahead.Adopt(version(2, "x", "y"))
+	delta, _ := ahead.For(1)
+	ahead.Adopt(version(3, "y"))
+	newest, _ := ahead.For(2)
+	for _, step := range []struct {
+		name    string
+		message Configuration
+		adopted bool
+		version int64
+	}{
+		{"a delta without its base", delta, false, 0},
+		{"the whole", whole, true, 1},
+		{"a delta", delta, true, 2},
+		{"the same again", delta, false, 2},
+		{"an older whole", whole, false, 2},
+		{"the newest", newest, true, 3},
+		{"an older delta", delta, false, 3},
+	} {
+		adopted, _ := behind.Take(step.message)
+		if adopted != step.adopted || behind.Current().Version != step.version {
+			t.Errorf("%s: adopted=%v, version %d", step.name, adopted, behind.Current().Version)
+		}
+	}
+	if ahead.Adopt(version(2, "z")) {
+		t.Error("an older version was adopted")
+	}
+	if difference := config.Diff(ahead.Current(), behind.Current()).String(); difference != "" {
+		t.Errorf("the peers differ: %s", difference)
+	}
+}
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -67,7 +67,7 @@
 }
 sleep 2
 span "idle, $accounts accounts" 10
-plan "$dir/small.json" 1000 1 false
-span "1000 whole answers of 1 token a second" 10 bin/load run --plan "$dir/small.json"
+plan "$dir/small.json" 400 1 false
+span "400 whole answers of 1 token a second" 10 bin/load run --plan "$dir/small.json"
 plan "$dir/tokens.json" 100 50 true
 span "100 streams of 50 tokens a second" 10 bin/load run --plan "$dir/tokens.json"
