tests: the same verdict every time

Cause: two runs of make test in a row were red, each in other places, all under the load of the packages running side by side: a test port was taken by an outgoing connection; key files were rewritten while a process read them; a script asked before a target's first load report; a script expected which streams would be whole at a kill; the stand-in engine left handlers waiting when it stopped; an entry's connections outlived it until their peer ended them.

--- a/internal/fakeengine/batcher.go
+++ b/internal/fakeengine/batcher.go
@@ -61,6 +61,10 @@
 	added := &sequence{prompt: prompt, next: first, wanted: wanted, tokens: make(chan int, wanted+1), ctx: ctx}
 	batcher.mutex.Lock()
 	defer batcher.mutex.Unlock()
+	if batcher.stopped {
+		close(added.tokens)
+		return added
+	}
 	batcher.waiting = append(batcher.waiting, added)
 	batcher.work.Signal()
 	return added
@@ -84,6 +88,7 @@
 	for {
 		duration, ok := batcher.plan()
 		if !ok {
+			batcher.abandon()
 			return
 		}
 		// Steps follow one another without the timer's delay adding up.
@@ -93,6 +98,16 @@
 	}
 }
 
+// abandon ends the requests that a stopped engine still has.
+func (batcher *batcher) abandon() {
+	batcher.mutex.Lock()
+	defer batcher.mutex.Unlock()
+	for _, left := range append(batcher.running, batcher.waiting...) {
+		close(left.tokens)
+	}
+	batcher.running, batcher.waiting = nil, nil
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/internal/stand/stand.go
+++ b/internal/stand/stand.go
@@ -146,9 +146,10 @@
 	if daemon.TLS, err = stand.authority.Issue(name); err != nil {
 		return "", err
 	}
-	if daemon.Settings.Listen, err = freeUDPAddress(ctx); err != nil {
+	if daemon.Socket, err = (&net.ListenConfig{}).ListenPacket(ctx, "udp", "127.0.0.1:0"); err != nil {
 		return "", err
 	}
+	daemon.Settings.Listen = daemon.Socket.LocalAddr().String()
 	daemon.Settings.Name, daemon.Settings.Place, daemon.Settings.FailureDomain = name, place, place
 	daemon.Settings.Drain.Limit = config.Duration(drainLimit)
 	if stand.ReportPeriod > 0 {
@@ -162,19 +163,13 @@
 	}
 	plain.Name, plain.Service, plain.Address, plain.Type = name+"-plain", stand.PlainService, engineURL, config.PlainService
 	daemon.Settings.Targets = []settings.EngineTarget{model, plain}
-	stand.group.Go(func() error { return daemon.Run(ctx) })
+	stand.group.Go(func() error {
+		defer func() { _ = daemon.Socket.Close() }()
+		return daemon.Run(ctx)
+	})
 	return daemon.Settings.Listen, nil
 }
 
-func freeUDPAddress(ctx context.Context) (address string, err error) {
-	connection, err := (&net.ListenConfig{}).ListenPacket(ctx, "udp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer func() { _ = connection.Close() }()
-	return connection.LocalAddr().String(), nil
-}
-
 func (stand *Stand) startEntry(ctx context.Context, listener net.Listener, platformURL string) (err error) {
 	stand.Entry = &entry.Entry{
 		Settings: settings.DefaultEntry(),
--- a/io/process/entry/link.go
+++ b/io/process/entry/link.go
@@ -86,6 +86,8 @@
 		return err
 	}
 	defer opened.close("")
+	// Reading ends with the connection, not with ctx.
+	defer context.AfterFunc(ctx, func() { opened.close("") })()
 	connection := opened.control()
 	stream, err := connection.OpenStreamSync(ctx)
 	if err != nil {
--- a/io/process/target/daemon.go
+++ b/io/process/target/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"expvar"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -39,6 +40,7 @@
 	TLS      *tls.Config
 	Log      *zap.Logger
 	Tracer   trace.Tracer
+	Socket   net.PacketConn // nil listens on the settings' address
 
 	incarnation    string
 	configurations peer.Configurations
@@ -66,7 +68,7 @@
 func (daemon *Daemon) Run(ctx context.Context) (err error) {
 	defer func() { err = errors.Annotatef(err, "running target daemon %q", daemon.Settings.Name) }()
 	daemon.init()
-	listener, err := quic.Listen(daemon.Settings.Listen, daemon.TLS)
+	listener, err := daemon.listen()
 	if err != nil {
 		return err
 	}
@@ -87,6 +89,13 @@
 	return nil
 }
 
+func (daemon *Daemon) listen() (listener *quic.Listener, err error) {
+	if daemon.Socket != nil {
+		return quic.ListenOn(daemon.Socket, daemon.TLS)
+	}
+	return quic.Listen(daemon.Settings.Listen, daemon.TLS)
+}
+
 func (daemon *Daemon) init() {
 	daemon.incarnation = request.NewID("")
 	daemon.record.MaxRuns, daemon.record.MaxTombstones = recordedRuns, tombstones
--- a/io/transport/quic/quic.go
+++ b/io/transport/quic/quic.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"net"
 	"time"
 
 	"github.com/juju/errors"
@@ -51,6 +52,12 @@
 	return listener, errors.Annotatef(err, "listening on %s", address)
 }
 
+// ListenOn accepts connections on a socket that is open already.
+func ListenOn(socket net.PacketConn, config *tls.Config) (listener *Listener, err error) {
+	listener, err = quic.Listen(socket, config, transportConfig())
+	return listener, errors.Annotatef(err, "listening on %s", socket.LocalAddr())
+}
+
 // Dial connects to a peer's UDP address and returns once the handshake has ended.
 func Dial(ctx context.Context, address string, config *tls.Config) (connection *Connection, err error) {
 	connection, err = quic.DialAddr(ctx, address, config, transportConfig())
