cli: one piece of code equips entry and target daemon

Cause: the two commands loaded key files, logger and tracer in the same lines, twice. Ruled out: one generic command for both (their settings and health pages differ). Change: process.equip does it once. Behaviour is as it was.

--- a/io/process/cli/run.go
+++ b/io/process/cli/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"net"
 	"net/http"
@@ -11,6 +12,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
 
 	"cowslipway/core/state/config"
@@ -30,36 +32,48 @@
 	cli *CLI
 }
 
+// gcPercent lets the heap, which is small, grow further between two collections: at the default they come so
+// often that online token gaps suffer.
+const gcPercent = 400
+
+// equipment is what entry and target daemon run with alike.
+type equipment struct {
+	tls    *tls.Config
+	log    *zap.Logger
+	tracer trace.Tracer
+	stop   func() // sends the traces that are left
+}
+
+func (process *process) equip(common settings.Process) (made equipment, err error) {
+	debug.SetGCPercent(gcPercent)
+	if made.tls, err = common.TLS.Load(); err != nil {
+		return made, err
+	}
+	if made.log, err = telemetry.NewLogger(common); err != nil {
+		return made, err
+	}
+	made.tracer, made.stop, err = telemetry.NewTracer(process.ctx, common, process.cli.Out)
+	return made, err
+}
+
 type entryCommand struct {
 	process
 
 	Settings string `long:"settings" required:"true" value-name:"FILE" description:"JSON file with the settings"`
 }
 
-// gcPercent lets the heap, which is small, grow further between two collections: at the default they come so
-// often that online token gaps suffer.
-const gcPercent = 400
-
 // Execute runs the command.
 func (command *entryCommand) Execute([]string) (err error) {
-	debug.SetGCPercent(gcPercent)
 	read, err := settings.ReadEntry(command.Settings)
 	if err != nil {
 		return err
 	}
-	running := &entry.Entry{Settings: read}
-	if running.TLS, err = read.TLS.Load(); err != nil {
-		return err
-	}
-	if running.Log, err = telemetry.NewLogger(read.Process); err != nil {
-		return err
-	}
-	tracer, stop, err := telemetry.NewTracer(command.ctx, read.Process, command.cli.Out)
+	equipment, err := command.equip(read.Process)
 	if err != nil {
 		return err
 	}
-	defer stop()
-	running.Tracer = tracer
+	defer equipment.stop()
+	running := &entry.Entry{Settings: read, TLS: equipment.tls, Log: equipment.log, Tracer: equipment.tracer}
 	return running.Run(command.ctx)
 }
 
@@ -71,24 +85,16 @@
 
 // Execute runs the command.
 func (command *targetCommand) Execute([]string) (err error) {
-	debug.SetGCPercent(gcPercent)
 	read, err := settings.ReadTarget(command.Settings)
 	if err != nil {
 		return err
 	}
-	running := &target.Daemon{Settings: read}
-	if running.TLS, err = read.TLS.Load(); err != nil {
-		return err
-	}
-	if running.Log, err = telemetry.NewLogger(read.Process); err != nil {
-		return err
-	}
-	tracer, stop, err := telemetry.NewTracer(command.ctx, read.Process, command.cli.Out)
+	equipment, err := command.equip(read.Process)
 	if err != nil {
 		return err
 	}
-	defer stop()
-	running.Tracer = tracer
+	defer equipment.stop()
+	running := &target.Daemon{Settings: read, TLS: equipment.tls, Log: equipment.log, Tracer: equipment.tracer}
 	if err = serveDebug(command.ctx, read.DebugListen, running.Handler()); err != nil {
 		return err
 	}
