--- /dev/null
+++ b/core/coordination/jobs/owner.go
@@ -0,0 +1,22 @@
+package jobs
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"cowslipway/core/state/fleet"
+)
+
+// PreferredOwner returns the worker that should run a job: rendezvous hashing moves few jobs when workers come and go.
+// It is empty where no worker is there to stay.
+func PreferredOwner(job string, workers []fleet.Member) (owner string) {
+	highest := uint64(0)
+	for _, worker := range workers {
+		if worker.Leaving {
+			continue
+		}
+		if weight := xxhash.Sum64String(worker.Name + "\x00" + job); owner == "" || weight > highest {
+			owner, highest = worker.Owner(), weight
+		}
+	}
+	return owner
+}
--- /dev/null
+++ b/core/coordination/placement/placement.go
@@ -0,0 +1,335 @@
+package placement
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"cowslipway/core/state/fleet"
+)
+
+const (
+	suspectBase    = 300 * time.Millisecond // an engine that broke a connection is left alone for this long at first
+	suspectLimit   = 3 * time.Second        // and for at most this long; a crashed engine is back after some seconds
+	batchHeadroom  = 1                      // slots of an engine that batch leaves free for the next online request
+	defaultSlots   = 8                      // of an engine whose entry names none
+	rateWindow     = time.Second            // over which the rate of releases is averaged
+	firstRateGuess = 20                     // releases a second before any was seen: two engines' worth
+	minRetryAfter  = 50 * time.Millisecond  // below that a caller would be back before a slot is
+	maxRetryAfter  = 1500 * time.Millisecond
+)
+
+// Counts is the work of one process at one engine.
+type Counts struct {
+	Engine uint64 // fleet.Engine.Digest
+	Online int
+	Batch  int
+}
+
+// Want describes a request that is to be placed.
+type Want struct {
+	Service  string
+	Domain   string // preferred where it costs no time
+	Excluded []uint64
+	Latest   time.Time // waiting beyond it serves nobody
+}
+
+// Decision is the answer to an online request.
+type Decision struct {
+	Engine     fleet.Engine
+	Admitted   bool
+	Urgent     bool // a batch item has to give way: the other processes are to hear of it at once
+	Ticket     int  // of a request that waits; 0 where it doesn't
+	RetryAfter time.Duration
+	Reason     string // of a refusal
+}
+
+// Grant is a place for a request that waited.
+type Grant struct {
+	Ticket   int
+	Decision Decision
+}
+
+type engine struct {
+	fleet.Engine
+
+	digest       uint64
+	online       int // of this process
+	batch        int
+	otherOnline  int // of the others, by their last word
+	otherBatch   int
+	failures     int // in a row
+	suspectUntil time.Time
+}
+
+func (engine *engine) total() int {
+	return engine.online + engine.batch + engine.otherOnline + engine.otherBatch
+}
+
+func (engine *engine) allOnline() int { return engine.online + engine.otherOnline }
+
+type waiter struct {
+	ticket int
+	want   Want
+}
+
+// Pool is the state of the decisions of one process.
+type Pool struct {
+	Random *rand.Rand
+
+	engines map[uint64]*engine
+	peers   map[string][]Counts
+	waiting []waiter // those who have to be placed first in front
+	tickets int
+	rate    float64 // of own releases, a second
+	rateAt  time.Time
+}
+
+// SetEngines replaces the engines that may be used; counts of those that stay are kept.
+func (pool *Pool) SetEngines(engines []fleet.Engine) {
+	next := make(map[uint64]*engine, len(engines))
+	for _, described := range engines {
+		digest := described.Digest()
+		known, ok := pool.engines[digest]
+		if !ok {
+			known = &engine{digest: digest}
+		}
+		known.Engine = described
+		if known.Slots <= 0 {
+			known.Slots = defaultSlots
+		}
+		next[digest] = known
+	}
+	pool.engines = next
+	pool.sumPeers()
+}
+
+// Hear takes in the counts of another process; nil forgets it.
+func (pool *Pool) Hear(peer string, counts []Counts) {
+	if pool.peers == nil {
+		pool.peers = map[string][]Counts{}
+	}
+	if counts == nil {
+		delete(pool.peers, peer)
+	} else {
+		pool.peers[peer] = counts
+	}
+	pool.sumPeers()
+}
+
+func (pool *Pool) sumPeers() {
+	for _, engine := range pool.engines {
+		engine.otherOnline, engine.otherBatch = 0, 0
+	}
+	for _, counts := range pool.peers {
+		for _, count := range counts {
+			if engine, ok := pool.engines[count.Engine]; ok {
+				engine.otherOnline += count.Online
+				engine.otherBatch += count.Batch
+			}
+		}
+	}
+}
+
+// Own returns the counts of this process, for the others.
+func (pool *Pool) Own() (counts []Counts) {
+	for digest, engine := range pool.engines {
+		if engine.online > 0 || engine.batch > 0 {
+			counts = append(counts, Counts{Engine: digest, Online: engine.online, Batch: engine.batch})
+		}
+	}
+	slices.SortFunc(counts, func(a, b Counts) int { return cmp.Compare(a.Engine, b.Engine) })
+	return counts
+}
+
+// candidates returns the engines for want in a random order; suspects only where there are no others.
+func (pool *Pool) candidates(now time.Time, want Want) (found []*engine) {
+	var suspects []*engine
+	for _, engine := range pool.engines {
+		if engine.Service != want.Service || engine.Draining || slices.Contains(want.Excluded, engine.digest) {
+			continue
+		}
+		if now.Before(engine.suspectUntil) {
+			suspects = append(suspects, engine)
+			continue
+		}
+		found = append(found, engine)
+	}
+	if len(found) == 0 {
+		found = suspects
+	}
+	slices.SortFunc(found, func(a, b *engine) int { return cmp.Compare(a.digest, b.digest) })
+	pool.Random.Shuffle(len(found), func(i, j int) { found[i], found[j] = found[j], found[i] })
+	return found
+}
+
+// best returns the better of the first two candidates that fit: two random choices do not herd on one engine
+// while the counts of the others are still under way.
+func best(found []*engine, domain string, fits func(*engine) bool, load func(*engine) int) (chosen *engine) {
+	seen := 0
+	for _, candidate := range found {
+		if !fits(candidate) {
+			continue
+		}
+		seen++
+		if chosen == nil || load(candidate) < load(chosen) || load(candidate) == load(chosen) && candidate.FailureDomain == domain {
+			chosen = candidate
+		}
+		if seen == 2 {
+			break
+		}
+	}
+	return chosen
+}
+
+// Online places an online request: at an engine with a free slot, else where a batch item can give way, else in
+// the queue, unless the queue drains too late for it.
+func (pool *Pool) Online(now time.Time, want Want) (decision Decision) {
+	found := pool.candidates(now, want)
+	if len(found) == 0 {
+		return Decision{RetryAfter: maxRetryAfter, Reason: "no engine"}
+	}
+	if decision, ok := pool.place(found, want); ok {
+		return decision
+	}
+	drain := pool.drain(now)
+	if now.Add(drain).After(want.Latest) {
+		return Decision{RetryAfter: min(max(drain, minRetryAfter), maxRetryAfter), Reason: "queue drains too late"}
+	}
+	pool.tickets++
+	pool.waiting = append(pool.waiting, waiter{ticket: pool.tickets, want: want})
+	slices.SortStableFunc(pool.waiting, func(a, b waiter) int { return a.want.Latest.Compare(b.want.Latest) })
+	return Decision{Ticket: pool.tickets}
+}
+
+func (pool *Pool) place(found []*engine, want Want) (decision Decision, ok bool) {
+	chosen := best(found, want.Domain, func(engine *engine) bool { return engine.total() < engine.Slots }, (*engine).total)
+	urgent := false
+	if chosen == nil {
+		yields := func(engine *engine) bool { return engine.allOnline() < engine.Slots }
+		chosen, urgent = best(found, want.Domain, yields, (*engine).allOnline), true
+	}
+	if chosen == nil {
+		return Decision{}, false
+	}
+	chosen.online++
+	return Decision{Engine: chosen.Engine, Admitted: true, Urgent: urgent}, true
+}
+
+// drain estimates how long one more request would wait, from the rate at which slots became free lately.
+func (pool *Pool) drain(now time.Time) time.Duration {
+	rate := pool.rate
+	if pool.rateAt.IsZero() {
+		rate = firstRateGuess
+	} else {
+		rate *= decay(now.Sub(pool.rateAt))
+	}
+	rate = max(rate, 1)
+	return time.Duration(float64(len(pool.waiting)+1) / rate * float64(time.Second))
+}
+
+func decay(passed time.Duration) float64 {
+	return 1 / (1 + max(0, passed.Seconds())/rateWindow.Seconds())
+}
+
+// Batch places a batch item at the emptiest engine, which keeps some slots free for online requests.
+func (pool *Pool) Batch(now time.Time, want Want) (chosen fleet.Engine, ok bool) {
+	if len(pool.waiting) > 0 {
+		return chosen, false
+	}
+	var emptiest *engine
+	for _, candidate := range pool.candidates(now, want) {
+		if candidate.total()+batchHeadroom < candidate.Slots && !now.Before(candidate.suspectUntil) && (emptiest == nil || candidate.total() < emptiest.total()) {
+			emptiest = candidate
+		}
+	}
+	if emptiest == nil {
+		return chosen, false
+	}
+	emptiest.batch++
+	return emptiest.Engine, true
+}
+
+// Release gives a slot back.
+func (pool *Pool) Release(now time.Time, chosen fleet.Engine, batch bool) {
+	engine, ok := pool.engines[chosen.Digest()]
+	if ok && batch {
+		engine.batch = max(0, engine.batch-1)
+	} else if ok {
+		engine.online = max(0, engine.online-1)
+	}
+	if batch {
+		return
+	}
+	if pool.rateAt.IsZero() {
+		pool.rate = firstRateGuess
+	} else {
+		kept := decay(now.Sub(pool.rateAt))
+		pool.rate = pool.rate*kept + 1/rateWindow.Seconds()*kept
+	}
+	pool.rateAt = now
+}
+
+// Failed records that an engine broke a connection, did not take one or stayed silent.
+func (pool *Pool) Failed(now time.Time, chosen fleet.Engine) {
+	if engine, ok := pool.engines[chosen.Digest()]; ok {
+		pause := min(suspectLimit, suspectBase<<min(engine.failures, 8))
+		engine.failures++
+		engine.suspectUntil = now.Add(pause)
+	}
+}
+
+// Served records that an engine answered as it should.
+func (pool *Pool) Served(chosen fleet.Engine) {
+	if engine, ok := pool.engines[chosen.Digest()]; ok {
+		engine.failures, engine.suspectUntil = 0, time.Time{}
+	}
+}
+
+// Tick places waiting requests, those with the nearest limit first, and refuses those whose time is up.
+func (pool *Pool) Tick(now time.Time) (grants []Grant) {
+	kept := pool.waiting[:0]
+	for _, waiter := range pool.waiting {
+		decision, ok := pool.place(pool.candidates(now, waiter.want), waiter.want)
+		switch {
+		case ok:
+			grants = append(grants, Grant{Ticket: waiter.ticket, Decision: decision})
+		case now.After(waiter.want.Latest):
+			retry := min(max(pool.drain(now), minRetryAfter), maxRetryAfter)
+			grants = append(grants, Grant{Ticket: waiter.ticket, Decision: Decision{RetryAfter: retry, Reason: "no slot in time"}})
+		default:
+			kept = append(kept, waiter)
+		}
+	}
+	pool.waiting = kept
+	return grants
+}
+
+// Cancel takes a request out of the queue; it reports whether it was still there.
+func (pool *Pool) Cancel(ticket int) bool {
+	before := len(pool.waiting)
+	pool.waiting = slices.DeleteFunc(pool.waiting, func(waiter waiter) bool { return waiter.ticket == ticket })
+	return len(pool.waiting) < before
+}
+
+// Waiting returns the length of the queue.
+func (pool *Pool) Waiting() int { return len(pool.waiting) }
+
+// Yields returns how many of this process's batch items at each engine have to give their slot back: its part of
+// what is there beyond the engine's slots.
+func (pool *Pool) Yields() (yields map[uint64]int) {
+	for digest, engine := range pool.engines {
+		excess := engine.total() - engine.Slots
+		if excess <= 0 || engine.batch == 0 {
+			continue
+		}
+		all := engine.batch + engine.otherBatch
+		part := min((excess*engine.batch+all-1)/all, engine.batch)
+		if yields == nil {
+			yields = map[uint64]int{}
+		}
+		yields[digest] = part
+	}
+	return yields
+}
--- /dev/null
+++ b/core/state/fleet/fleet.go
@@ -0,0 +1,51 @@
+package fleet
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Engine is one incarnation of an engine, as it describes itself.
+type Engine struct {
+	ID            string
+	Born          int64 // Unix milliseconds of its start: an engine may start again under its former ID
+	Service       string
+	Address       string // IP and port
+	FailureDomain string
+	Slots         int
+	Draining      bool
+	Warmup        time.Duration // it stays slow for this long after its start
+}
+
+// Incarnation names one start of one engine.
+func (engine Engine) Incarnation() string {
+	return engine.ID + "/" + strconv.FormatInt(engine.Born, 10)
+}
+
+// Digest is a short form of the incarnation's name for messages between processes.
+func (engine Engine) Digest() uint64 { return xxhash.Sum64String(engine.Incarnation()) }
+
+// Role says what a process of the system does.
+type Role string
+
+// The roles.
+const (
+	IngressRole Role = "ingress" // callers' HTTP, online requests
+	WorkerRole  Role = "worker"  // batch jobs
+)
+
+// Member is a running process of the system.
+type Member struct {
+	Name          string `json:"name"`
+	Boot          string `json:"boot"` // drawn anew at each start
+	Role          Role   `json:"role"`
+	FailureDomain string `json:"failure_domain"`
+	Address       string `json:"address"`     // UDP, for peers
+	Fingerprint   string `json:"fingerprint"` // SHA-256 of its TLS certificate, in hexadecimal
+	Leaving       bool   `json:"leaving,omitempty"`
+}
+
+// Owner names one start of a member, as the owner of batch jobs.
+func (member Member) Owner() string { return member.Name + "/" + member.Boot }
--- a/io/process/cli/commands.go
+++ b/io/process/cli/commands.go
@@ -31,6 +31,22 @@
 			return &targetCommand{process: process{ctx: ctx, cli: cli}}
 		},
 	},
+	{
+		name:  "ingress",
+		short: "Serve callers on a platform that lists engines and configuration in its store",
+		long:  "Sends online requests straight to engines and takes batch jobs to the store. SIGTERM stops it gracefully, a second one at once; SIGHUP reads the settings again.",
+		make: func(ctx context.Context, cli *CLI) flags.Commander {
+			return &ingressCommand{memberCommand: memberCommand{process: process{ctx: ctx, cli: cli}}}
+		},
+	},
+	{
+		name:  "worker",
+		short: "Run batch jobs on a platform that lists engines and configuration in its store",
+		long:  "Owns batch jobs and runs their items in what online requests leave. SIGTERM hands its jobs over, a second one ends it at once; SIGHUP reads the settings again.",
+		make: func(ctx context.Context, cli *CLI) flags.Commander {
+			return &workerCommand{memberCommand: memberCommand{process: process{ctx: ctx, cli: cli}}}
+		},
+	},
 	{
 		name:  "demo",
 		short: "Run the whole path in one process, with stand-ins for engines and platform",
--- /dev/null
+++ b/io/process/ingress/online.go
@@ -0,0 +1,348 @@
+package ingress
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"cowslipway/core/coordination/placement"
+	"cowslipway/core/state/fleet"
+	"cowslipway/core/state/routes"
+	"cowslipway/io/port"
+	"cowslipway/io/transport/upstream"
+)
+
+const (
+	// firstEventReserve is what an engine with a free slot takes to the first event, with the ways there and back.
+	firstEventReserve = 60 * time.Millisecond
+	// silenceShare of its latency target is how long a stream that can go on elsewhere waits for its first event.
+	silenceShare = 0.5
+	// pauseFactor times the longest pause that is still on time makes a stream go on elsewhere.
+	pauseFactor = 2
+	copyBytes   = 16 << 10
+)
+
+// outcome is how one attempt ended.
+type outcome uint8
+
+const (
+	served  outcome = iota // the caller has the whole answer
+	notRun                 // the engine did not run it and will not
+	unknown                // it may have run, or is broken off
+	final                  // the engine's own failure, which was handed on
+)
+
+var outcomeNames = [...]string{"served", "not run", "unknown", "failure forwarded"}
+
+// String returns the outcome's name.
+func (outcome outcome) String() string { return outcomeNames[outcome] }
+
+// online is one online request on its way.
+type online struct {
+	server  *Server
+	writer  http.ResponseWriter
+	request *http.Request
+	call    port.Call
+	route   routes.Route
+	table   *routes.Table
+	service string
+	header  http.Header
+	body    []byte
+	arrived time.Time
+	expires time.Time // zero: never
+
+	attempts  int
+	excluded  []uint64
+	mayHasRun bool
+	started   bool   // the head of the answer is with the caller
+	lastEvent string // that the caller has had
+	events    int
+	firstAt   time.Time
+}
+
+func (server *Server) serveRouted(writer http.ResponseWriter, request *http.Request, call port.Call, arrived time.Time) {
+	table := server.Node.Table()
+	if table == nil {
+		server.refuse(writer, call, http.StatusServiceUnavailable, unreadyRetry, "no configuration is known yet")
+		return
+	}
+	uri, path := targetOf(request)
+	route, ok := table.Match(hostOf(request), path)
+	if !ok {
+		server.refuse(writer, call, http.StatusNotFound, 0, "no route matches")
+		return
+	}
+	limit := table.Limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBody
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, limit))
+	if err != nil {
+		var large *http.MaxBytesError
+		if errors.As(err, &large) {
+			server.refuse(writer, call, http.StatusRequestEntityTooLarge, 0, err.Error())
+			return
+		}
+		panic(http.ErrAbortHandler) // the caller broke off in the middle of its request
+	}
+	if route.Kind == routes.Batch {
+		server.serveSubmission(writer, request, call, route, path, body)
+		return
+	}
+	online := &online{
+		server: server, writer: writer, request: request, call: call, route: route, table: table,
+		service: route.Service(call.RequestID), header: upstream.EndToEnd(request.Header), body: body,
+		arrived: arrived, lastEvent: call.LastEvent,
+	}
+	online.request.RequestURI = uri
+	remaining := call.Remaining
+	if route.Timeout > 0 && (remaining == 0 || route.Timeout < remaining) {
+		remaining = route.Timeout
+	}
+	if remaining > 0 {
+		online.expires = arrived.Add(remaining)
+	}
+	online.run()
+}
+
+// run walks the plan forward: engine after engine, until one has served the request or none may be tried.
+func (online *online) run() {
+	ctx := online.request.Context()
+	if !online.expires.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, online.expires)
+		defer cancel()
+	}
+	retryAfter, reason := time.Duration(0), ""
+	for online.attempts < online.route.MaxAttempts && ctx.Err() == nil {
+		decision, err := online.server.Node.Acquire(ctx, online.want())
+		if err != nil {
+			break
+		}
+		if !decision.Admitted {
+			retryAfter, reason = decision.RetryAfter, decision.Reason
+			break
+		}
+		online.attempts++
+		result, cause := online.attempt(ctx, decision.Engine)
+		online.log("attempt", decision.Engine, zap.Stringer("outcome", result), zap.Bool("urgent", decision.Urgent), zap.NamedError("cause", cause))
+		if result == served || result == final {
+			return
+		}
+		online.excluded = append(online.excluded, decision.Engine.Digest())
+		if result == unknown {
+			online.mayHasRun = true
+			if !online.route.Repeatable() {
+				break
+			}
+		}
+		reason = "engine failed"
+	}
+	online.giveUp(ctx, retryAfter, reason)
+}
+
+func (online *online) want() placement.Want {
+	latest := online.arrived.Add(online.route.TargetLatency - firstEventReserve)
+	if online.started {
+		latest = time.Now().Add(online.route.MaxPause)
+	}
+	return placement.Want{Service: online.service, Domain: online.server.Node.Settings.FailureDomain, Excluded: online.excluded, Latest: latest}
+}
+
+// giveUp answers a request that no engine has served.
+func (online *online) giveUp(ctx context.Context, retryAfter time.Duration, reason string) {
+	switch {
+	case online.request.Context().Err() != nil:
+		online.log("caller gone", fleet.Engine{})
+		panic(http.ErrAbortHandler)
+	case online.started:
+		online.log("broken off", fleet.Engine{}, zap.String("reason", reason))
+		panic(http.ErrAbortHandler)
+	case online.mayHasRun && ctx.Err() != nil:
+		online.server.refuse(online.writer, online.call, http.StatusGatewayTimeout, 0, "time is up; the request may have run")
+	case online.mayHasRun:
+		online.server.refuse(online.writer, online.call, http.StatusBadGateway, 0, "the request may have run: "+reason)
+	default:
+		if reason == "" {
+			reason = "time is up"
+		}
+		online.server.refuse(online.writer, online.call, http.StatusServiceUnavailable, max(retryAfter, unreadyRetry/10), "not run: "+reason)
+	}
+}
+
+// attempt sends the request to one engine and hands its answer on.
+func (online *online) attempt(ctx context.Context, engine fleet.Engine) (result outcome, cause error) {
+	node := online.server.Node
+	defer node.Release(engine, false)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watchdog := online.watch(cancel)
+	defer watchdog.stop()
+	remaining := time.Duration(0)
+	if !online.expires.IsZero() {
+		remaining = time.Until(online.expires)
+	}
+	exchange, err := node.Upstream.Send(ctx, upstream.Request{
+		Address: engine.Address,
+		Method:  online.request.Method,
+		URI:     online.request.RequestURI,
+		Host:    online.request.Host,
+		Header:  online.header,
+		Body:    online.body,
+		Attempt: port.Attempt{RequestID: online.call.RequestID, Engine: engine.ID, Remaining: remaining, LastEvent: online.lastEvent},
+	})
+	if err != nil {
+		online.blame(engine)
+		if errors.Is(err, upstream.ErrNotSent) {
+			return notRun, err
+		}
+		return unknown, err
+	}
+	defer exchange.Abort()
+	status := exchange.Response.StatusCode
+	switch {
+	case exchange.Answer.NotRun:
+		exchange.Drain()
+		node.Failed(engine)
+		return notRun, errors.Errorf("status %d, not run", status)
+	case !exchange.Answer.Stamped:
+		online.blame(engine)
+		return unknown, errors.Errorf("status %d without a proof of origin", status)
+	case status >= http.StatusInternalServerError && online.route.Repeatable() && online.attempts < online.route.MaxAttempts:
+		exchange.Drain()
+		return unknown, errors.Errorf("status %d", status)
+	case online.started && status != http.StatusOK:
+		exchange.Drain()
+		return unknown, errors.Errorf("status %d for the rest of a stream", status)
+	}
+	if online.route.Kind == routes.Stream && status == http.StatusOK {
+		err = online.forwardEvents(exchange, watchdog)
+	} else {
+		watchdog.stop()
+		err = online.forwardBody(exchange)
+	}
+	if err != nil {
+		online.blame(engine)
+		return unknown, err
+	}
+	exchange.Finish()
+	node.Served(engine)
+	if status >= http.StatusBadRequest {
+		return final, nil
+	}
+	return served, nil
+}
+
+// blame records a failure of engine, unless the caller has left or the time was up.
+func (online *online) blame(engine fleet.Engine) {
+	if online.request.Context().Err() == nil && (online.expires.IsZero() || time.Now().Before(online.expires)) {
+		online.server.Node.Failed(engine)
+	}
+}
+
+// watchdog ends an attempt whose engine is silent for too long, where the stream can go on elsewhere.
+type watchdog struct {
+	timer *time.Timer
+	pause time.Duration
+}
+
+func (online *online) watch(cancel context.CancelFunc) *watchdog {
+	if online.route.Kind != routes.Stream || !online.route.Repeatable() || online.attempts >= online.route.MaxAttempts {
+		return &watchdog{}
+	}
+	first := time.Duration(float64(online.route.TargetLatency) * silenceShare)
+	if first <= 0 {
+		return &watchdog{}
+	}
+	return &watchdog{timer: time.AfterFunc(first, cancel), pause: pauseFactor * max(first, online.route.MaxPause)}
+}
+
+// heard puts the end off after an event.
+func (watchdog *watchdog) heard() {
+	if watchdog.timer != nil {
+		watchdog.timer.Reset(watchdog.pause)
+	}
+}
+
+func (watchdog *watchdog) stop() {
+	if watchdog.timer != nil {
+		watchdog.timer.Stop()
+	}
+}
+
+// head sends the head of the answer to the caller, once: a stream keeps the head of its first engine.
+func (online *online) head(response *http.Response) {
+	if online.started {
+		return
+	}
+	online.started = true
+	header := online.writer.Header()
+	for name, values := range upstream.EndToEnd(response.Header) {
+		header[name] = values
+	}
+	if response.ContentLength >= 0 {
+		header.Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
+	}
+	for _, name := range []string{"Content-Type", "Date"} {
+		if _, ok := header[name]; !ok {
+			header[name] = nil // keeps net/http from adding what the engine did not say
+		}
+	}
+	online.writer.WriteHeader(response.StatusCode)
+}
+
+// forwardEvents hands whole events on as they come.
+func (online *online) forwardEvents(exchange *upstream.Exchange, watchdog *watchdog) (err error) {
+	defer func() { err = errors.Annotate(err, "forwarding a stream") }()
+	events := upstream.NewEvents(exchange.Response.Body)
+	flusher := http.NewResponseController(online.writer)
+	for {
+		event, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			online.head(exchange.Response)
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if event.ID != "" && !upstream.Follows(online.lastEvent, event.ID) {
+			return errors.Errorf("event %q after event %q", event.ID, online.lastEvent)
+		}
+		watchdog.heard()
+		if online.events == 0 {
+			online.firstAt = time.Now()
+		}
+		online.events++
+		online.head(exchange.Response)
+		if _, err = online.writer.Write(event.Raw); err != nil {
+			return err
+		}
+		if event.ID != "" {
+			online.lastEvent = event.ID
+		}
+		if err = flusher.Flush(); err != nil {
+			return err
+		}
+	}
+}
+
+func (online *online) forwardBody(exchange *upstream.Exchange) (err error) {
+	online.head(exchange.Response)
+	_, err = io.CopyBuffer(online.writer, exchange.Response.Body, make([]byte, copyBytes))
+	return errors.Annotate(err, "forwarding a body")
+}
+
+func (online *online) log(message string, engine fleet.Engine, fields ...zap.Field) {
+	first := time.Duration(0)
+	if !online.firstAt.IsZero() {
+		first = online.firstAt.Sub(online.arrived)
+	}
+	online.server.Log.Info(message, append(fields, zap.String("request", online.call.RequestID), zap.String("route", online.route.Name),
+		zap.Int64("configuration", online.table.Version), zap.String("engine", engine.ID), zap.Int("attempt", online.attempts),
+		zap.Int("events", online.events), zap.Duration("first", first), zap.Duration("since_arrival", time.Since(online.arrived)))...)
+}
--- /dev/null
+++ b/io/process/node/node.go
@@ -0,0 +1,224 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"cowslipway/core/coordination/placement"
+	"cowslipway/core/state/fleet"
+	"cowslipway/core/state/ledger"
+	"cowslipway/core/state/routes"
+	"cowslipway/io/port"
+	"cowslipway/io/process/settings"
+	"cowslipway/io/protocol/member"
+	"cowslipway/io/store"
+	"cowslipway/io/transport/upstream"
+)
+
+const (
+	storeTimeout = 1200 * time.Millisecond // of a call; the store takes 4 ms, and 60 times that on a slow day
+	followPace   = 400 * time.Millisecond  // configuration has 2 s to be in force, and what one caller read, 1 s
+	followWait   = 2 * time.Second         // a watch that hears nothing for longer may be dead
+	dialTimeout  = 250 * time.Millisecond  // to an engine, which takes 1 ms and up to the way through the region
+	leasePeriod  = 3 * time.Second         // batch jobs of a lost worker wait that long for the next one
+	leaseRenewal = leasePeriod / 3
+	leaseRetry   = 300 * time.Millisecond
+)
+
+// Node is a running process.
+type Node struct {
+	Settings settings.Member
+	Role     fleet.Role
+	Records  port.Records
+	Driver   store.Driver
+	Engines  port.Engines
+	Log      *zap.Logger
+	Yield    func(yields map[uint64]int) // batch items that have to give way, by engine; may be nil
+
+	Store     *store.Store
+	Upstream  *upstream.Pool
+	self      fleet.Member
+	mesh      *member.Mesh
+	directory directory
+
+	placing   sync.Mutex
+	pool      placement.Pool
+	tickets   map[int]chan placement.Decision
+	told      []placement.Counts
+	toldAt    time.Time
+	lease     int64
+	again     chan struct{} // the registration has to be written anew
+	leaving   bool
+	leaseLock sync.Mutex
+}
+
+// Prepare builds what Run needs; the fields above may be used afterwards.
+func (node *Node) Prepare() (err error) {
+	identity, err := member.NewIdentity()
+	if err != nil {
+		return err
+	}
+	node.self = fleet.Member{
+		Name:          node.Settings.Name,
+		Boot:          uuid.NewString()[:8],
+		Role:          node.Role,
+		FailureDomain: node.Settings.FailureDomain,
+		Address:       node.Settings.PeerListen,
+		Fingerprint:   identity.Fingerprint,
+	}
+	node.Store = &store.Store{Driver: node.Driver, Timeout: storeTimeout, Changed: node.storeChanged}
+	node.Upstream = &upstream.Pool{DialTimeout: dialTimeout, Engines: node.Engines}
+	node.mesh = &member.Mesh{Self: node.self, Identity: identity, Log: node.Log, Heard: node.heard}
+	node.pool.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	node.tickets = map[int]chan placement.Decision{}
+	node.again = make(chan struct{}, 1)
+	node.directory.init(node)
+	return nil
+}
+
+// Self describes this process to the others.
+func (node *Node) Self() fleet.Member { return node.self }
+
+// Run keeps the registration, the views and the exchange with the other members until ctx ends.
+func (node *Node) Run(ctx context.Context) (err error) {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return node.mesh.Run(ctx) })
+	group.Go(func() error {
+		follower := &store.Follower{Store: node.Store, Pace: followPace, Wait: followWait, Handle: node.directory.apply}
+		follower.Run(ctx)
+		return nil
+	})
+	group.Go(func() error {
+		node.register(ctx)
+		return nil
+	})
+	group.Go(func() error {
+		node.tick(ctx)
+		return nil
+	})
+	return group.Wait()
+}
+
+func (node *Node) storeChanged(reachable bool) {
+	if reachable {
+		node.directory.regained()
+		node.Log.Info("store regained")
+		return
+	}
+	node.Log.Warn("store lost", zap.Duration("view_age", node.directory.age()))
+}
+
+// register keeps a lease and the record of this process under it.
+func (node *Node) register(ctx context.Context) {
+	written := false
+	for ctx.Err() == nil {
+		pause := leaseRenewal
+		var err error
+		if written {
+			err = node.Store.KeepLease(ctx, node.currentLease())
+		} else {
+			err = node.writeRegistration(ctx)
+		}
+		switch {
+		case errors.Is(err, store.ErrNoLease):
+			node.Log.Warn("lease ended")
+			written, pause = false, 0
+		case err != nil:
+			pause = leaseRetry
+		default:
+			written = true
+		}
+		timer := time.NewTimer(pause)
+		select {
+		case <-ctx.Done():
+		case <-node.again:
+			written = false
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+func (node *Node) currentLease() int64 {
+	node.leaseLock.Lock()
+	defer node.leaseLock.Unlock()
+	return node.lease
+}
+
+func (node *Node) writeRegistration(ctx context.Context) (err error) {
+	lease, err := node.Store.GrantLease(ctx, leasePeriod)
+	if err != nil {
+		return err
+	}
+	node.leaseLock.Lock()
+	node.lease = lease
+	self := node.self
+	self.Leaving = node.leaving
+	node.leaseLock.Unlock()
+	value, err := json.Marshal(self)
+	if err != nil {
+		return err
+	}
+	write := store.Write{Key: node.Records.OwnKey(memberPrefix + self.Name), Value: value, Lease: lease}
+	if _, _, err = node.Store.Commit(ctx, store.Txn{Writes: []store.Write{write}}); err == nil {
+		node.Log.Info("registered", zap.String("owner", self.Owner()), zap.Int64("lease", lease), zap.Bool("leaving", self.Leaving))
+	}
+	return err
+}
+
+// Leave tells the others that this process is about to stop.
+func (node *Node) Leave() {
+	node.leaseLock.Lock()
+	node.leaving = true
+	node.leaseLock.Unlock()
+	node.registerAgain()
+}
+
+// Deregister ends the lease, so that the others need not wait for it to run out.
+func (node *Node) Deregister(ctx context.Context) {
+	if lease := node.currentLease(); lease != 0 {
+		if err := node.Store.EndLease(ctx, lease); err != nil {
+			node.Log.Warn("lease could not be ended", zap.Error(err))
+		}
+	}
+}
+
+func (node *Node) registerAgain() {
+	select {
+	case node.again <- struct{}{}:
+	default: // it is asked for already
+	}
+}
+
+// Table returns the routing table in force; nil before the first is known.
+func (node *Node) Table() *routes.Table { return node.directory.table.Load() }
+
+// Members returns the live members of a role, sorted by name.
+func (node *Node) Members(role fleet.Role) []fleet.Member { return node.directory.membersOf(role) }
+
+// View returns what is known of a batch job, and a channel that is closed with the next news.
+func (node *Node) View(id string) (view ledger.View, ok bool, changed <-chan struct{}) {
+	return node.directory.view(id)
+}
+
+// EachJob calls visit for each known batch job until it returns false; visit must not block.
+func (node *Node) EachJob(visit func(id string, view ledger.View) bool) {
+	node.directory.eachJob(visit)
+}
+
+// Retirements returns the names of the VMs that are to be emptied.
+func (node *Node) Retirements() []string { return node.directory.retirements() }
+
+// ViewAge tells how old the view of the store may be.
+func (node *Node) ViewAge() time.Duration { return node.directory.age() }
+
+// Ready reports whether the process knows enough to serve.
+func (node *Node) Ready() bool { return node.Table() != nil }
--- /dev/null
+++ b/io/process/worker/item.go
@@ -0,0 +1,90 @@
+package worker
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/juju/errors"
+
+	"cowslipway/core/coordination/jobs"
+	"cowslipway/core/state/fleet"
+	"cowslipway/io/port"
+	"cowslipway/io/transport/upstream"
+)
+
+// silenceLimit ends a run whose engine is silent: events come every 30 ms, and an engine that was preempting its
+// runs for others still sends one within a second or two.
+const silenceLimit = 2500 * time.Millisecond
+
+// runItem runs an item at an engine from where its former runs have come.
+func (worker *Worker) runItem(ctx context.Context, work jobs.Work, engine fleet.Engine) (verdict jobs.Verdict, progress jobs.Progress, cause error) {
+	progress = jobs.Progress{LastEvent: work.Progress.LastEvent, Data: slices.Clone(work.Progress.Data)}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silence := time.AfterFunc(silenceLimit, cancel)
+	defer silence.Stop()
+	header := http.Header{}
+	for name, value := range work.Item.Header {
+		header.Set(name, value)
+	}
+	exchange, err := worker.Node.Upstream.Send(ctx, upstream.Request{
+		Address: engine.Address,
+		Method:  http.MethodPost,
+		URI:     work.Item.Path,
+		Host:    work.Job.Host,
+		Header:  header,
+		Body:    work.Item.Body,
+		Attempt: port.Attempt{RequestID: work.Item.ID, Engine: engine.ID, LastEvent: progress.LastEvent},
+	})
+	if errors.Is(err, upstream.ErrNotSent) {
+		return jobs.Refused, progress, err
+	}
+	if err != nil {
+		return jobs.Broken, progress, err
+	}
+	defer exchange.Abort()
+	status := exchange.Response.StatusCode
+	switch {
+	case exchange.Answer.NotRun:
+		exchange.Drain()
+		return jobs.Refused, progress, errors.Errorf("status %d, not run", status)
+	case !exchange.Answer.Stamped:
+		return jobs.Broken, progress, errors.Errorf("status %d without a proof of origin", status)
+	case status == http.StatusUnprocessableEntity:
+		exchange.Drain()
+		return jobs.Rejected, progress, nil
+	case status == http.StatusInternalServerError:
+		exchange.Drain()
+		return jobs.Errored, progress, errors.Errorf("status %d", status)
+	case status != http.StatusOK:
+		exchange.Drain()
+		return jobs.Broken, progress, errors.Errorf("status %d", status)
+	}
+	return worker.readEvents(exchange, silence, progress)
+}
+
+func (worker *Worker) readEvents(exchange *upstream.Exchange, silence *time.Timer, progress jobs.Progress) (verdict jobs.Verdict, after jobs.Progress, cause error) {
+	events := upstream.NewEvents(exchange.Response.Body)
+	for {
+		event, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			exchange.Finish()
+			return jobs.Finished, progress, nil
+		}
+		if err != nil {
+			return jobs.Broken, progress, err
+		}
+		silence.Reset(silenceLimit)
+		if event.ID == "" {
+			continue // a comment that keeps the connection open
+		}
+		if !upstream.Follows(progress.LastEvent, event.ID) {
+			return jobs.Broken, progress, errors.Errorf("event %q after event %q", event.ID, progress.LastEvent)
+		}
+		progress.LastEvent = event.ID
+		progress.Data = append(progress.Data, event.Data())
+	}
+}
--- /dev/null
+++ b/io/process/worker/stop.go
@@ -0,0 +1,111 @@
+package worker
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cowslipway/core/coordination/jobs"
+	"cowslipway/core/state/fleet"
+	"cowslipway/core/state/ledger"
+	"cowslipway/io/store"
+)
+
+// stop hands the jobs over and deregisters, within the grace period.
+func (worker *Worker) stop(ctx context.Context) {
+	grace := worker.Node.Settings.GracePeriod.Duration()
+	ctx, cancel := context.WithTimeout(ctx, max(grace/2, grace-stopMargin))
+	defer cancel()
+	worker.Log.Info("stopping", zap.Int("jobs", len(worker.runner.IDs())))
+	worker.handOver(ctx)
+	worker.Node.Deregister(ctx)
+	worker.Log.Info("stopped")
+}
+
+// retire empties this VM where the operator asks for it; a live worker answers for a VM that runs none.
+func (worker *Worker) retire(ctx context.Context) {
+	self := worker.Node.Self().Name
+	if worker.retired || worker.stopping || !slices.Contains(worker.Node.Retirements(), self) {
+		return
+	}
+	worker.retired = true
+	worker.Log.Info("retiring")
+	worker.handOver(ctx)
+	key, value := worker.Node.Records.RetirementAnswer(self, true)
+	for ctx.Err() == nil {
+		_, _, err := worker.Node.Store.Commit(ctx, store.Txn{Writes: []store.Write{{Key: key, Value: value}}})
+		if err == nil {
+			worker.Log.Info("retired")
+			return
+		}
+		worker.Log.Warn("retirement not reported yet", zap.Error(err))
+		worker.await(ctx, commitRetry)
+	}
+}
+
+// handOver cuts the running items, writes what is finished and gives the jobs to other workers, with the progress
+// of their items. It carries out events itself, since the control loop is inside it.
+func (worker *Worker) handOver(ctx context.Context) {
+	worker.stopping = true
+	worker.Node.Leave()
+	limited, cancel := context.WithTimeout(ctx, handoverLimit)
+	defer cancel()
+	for run := range worker.running {
+		run.yield = true
+		run.cancel()
+	}
+	for limited.Err() == nil && (len(worker.running) > 0 || worker.writing || worker.runner.Unwritten() || len(worker.claiming) > 0) {
+		worker.flush(limited, time.Now().Add(commitPeriod))
+		worker.await(limited, lookPeriod)
+	}
+	for _, id := range worker.runner.IDs() {
+		if err := worker.giveAway(limited, id); err != nil {
+			worker.Log.Warn("job not handed over; it goes to another worker when the lease ends", zap.String("job", id), zap.Error(err))
+			continue
+		}
+		worker.Log.Info("job handed over", zap.String("job", id))
+		worker.runner.Drop(id)
+	}
+}
+
+// await carries out events for a while.
+func (worker *Worker) await(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	for {
+		select {
+		case event := <-worker.events:
+			event()
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// giveAway records another worker as the owner of a job, and the progress of its items beside.
+func (worker *Worker) giveAway(ctx context.Context, id string) (err error) {
+	view, _, _ := worker.Node.View(id)
+	others := slices.DeleteFunc(worker.Node.Members(fleet.WorkerRole), func(member fleet.Member) bool {
+		return member.Name == worker.Node.Self().Name
+	})
+	next := view.Owned.WithOwner(jobs.PreferredOwner(id, others)).WithBegun()
+	ownership, err := ledger.Encode(next)
+	if err != nil {
+		return err
+	}
+	progress, err := ledger.Encode(worker.runner.Unfinished(id))
+	if err != nil {
+		return err
+	}
+	records := worker.Node.Records
+	key := records.OwnKey(ledger.OwnershipKey(id))
+	_, _, err = worker.Node.Store.Commit(ctx, store.Txn{
+		Conditions: []store.Condition{{Key: key, Revision: worker.runner.Epoch(id)}},
+		Writes:     []store.Write{{Key: key, Value: ownership}, {Key: records.OwnKey(progressKey(id)), Value: progress}},
+	})
+	return err
+}
--- /dev/null
+++ b/io/process/worker/worker.go
@@ -0,0 +1,369 @@
+package worker
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"cowslipway/core/coordination/jobs"
+	"cowslipway/core/coordination/placement"
+	"cowslipway/core/state/fleet"
+	"cowslipway/core/state/ledger"
+	"cowslipway/core/state/routes"
+	"cowslipway/io/process/node"
+	"cowslipway/io/store"
+)
+
+const (
+	lookPeriod    = 20 * time.Millisecond  // between two looks for free slots; an item holds one for 5 s
+	scanPeriod    = 100 * time.Millisecond // between two looks at all jobs
+	commitPeriod  = 300 * time.Millisecond // results are gathered for that long, to save calls
+	commitRetry   = 150 * time.Millisecond
+	stopMargin    = 1500 * time.Millisecond // of the grace period, for the last calls to the store
+	handoverLimit = 3 * time.Second
+	maxRunning    = 512 // runs at a time: the process's memory and descriptors
+)
+
+// Worker runs batch jobs on one VM.
+type Worker struct {
+	Node *node.Node
+	Log  *zap.Logger
+
+	runner   jobs.Runner
+	running  map[*run]bool
+	events   chan event
+	claiming map[string]bool
+	writing  bool
+	wroteAt  time.Time
+	scanned  time.Time
+	stopping bool
+	retired  bool
+}
+
+// event changes the control state; all of them are carried out by one goroutine.
+type event func()
+
+// run is a run of an item that is under way.
+type run struct {
+	work   jobs.Work
+	engine fleet.Engine
+	began  time.Time
+	cancel context.CancelFunc
+	yield  bool
+}
+
+// Run works until ctx ends, and then hands its jobs over.
+func (worker *Worker) Run(ctx context.Context) (err error) {
+	defer func() { err = errors.Annotate(err, "running batch jobs") }()
+	worker.running, worker.claiming = map[*run]bool{}, map[string]bool{}
+	worker.events = make(chan event, 256)
+	worker.Node.Yield = func(yields map[uint64]int) {
+		select {
+		case worker.events <- func() { worker.yield(yields) }:
+		default: // the next look will tell again
+		}
+	}
+	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	group, running := errgroup.WithContext(running)
+	group.Go(func() error { return worker.Node.Run(running) })
+	group.Go(func() error {
+		worker.control(running, ctx.Done())
+		cancel()
+		return nil
+	})
+	return group.Wait()
+}
+
+// control owns the control state until stop is closed and the jobs are handed over, or ctx ends.
+func (worker *Worker) control(ctx context.Context, stop <-chan struct{}) {
+	ticker := time.NewTicker(lookPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-stop:
+			worker.stop(ctx)
+			return
+		case event := <-worker.events:
+			event()
+		case now := <-ticker.C:
+			worker.look(ctx, now)
+		}
+	}
+}
+
+func (worker *Worker) look(ctx context.Context, now time.Time) {
+	if now.Sub(worker.scanned) >= scanPeriod {
+		worker.scanned = now
+		worker.scan(ctx)
+	}
+	worker.admit(ctx, now)
+	worker.flush(ctx, now)
+}
+
+// scan compares the jobs that are run with the view of the store.
+func (worker *Worker) scan(ctx context.Context) {
+	table := worker.Node.Table()
+	if table == nil {
+		return
+	}
+	workers := worker.Node.Members(fleet.WorkerRole)
+	live := map[string]bool{}
+	for _, member := range workers {
+		live[member.Owner()] = true
+	}
+	self := worker.Node.Self().Owner()
+	var adopt, claim []ledger.View
+	var drop []string
+	worker.Node.EachJob(func(id string, view ledger.View) bool {
+		epoch := worker.runner.Epoch(id)
+		switch {
+		case view.Job == nil:
+		case view.Owned.Ended || view.Owned.Epoch > epoch && epoch != 0 && view.Owned.Owner != self:
+			if epoch != 0 {
+				drop = append(drop, id)
+			}
+		case epoch != 0 || worker.claiming[id] || len(view.Results) >= len(view.Job.Items) || worker.stopping:
+		case view.Owned.Owner == self:
+			adopt = append(adopt, view)
+		case !live[view.Owned.Owner] && live[self] && jobs.PreferredOwner(id, workers) == self:
+			claim = append(claim, view)
+		}
+		return true
+	})
+	for _, id := range drop {
+		worker.drop(id, "ended or owned by another process")
+	}
+	for _, view := range adopt {
+		if view.Owned.Begun {
+			worker.adoptBegun(ctx, table, view)
+		} else {
+			worker.adopt(table, view, nil)
+		}
+	}
+	for _, view := range claim {
+		worker.claim(ctx, view)
+	}
+	worker.retire(ctx)
+}
+
+func (worker *Worker) adopt(table *routes.Table, view ledger.View, progress map[string]jobs.Progress) {
+	route, _ := table.Match(view.Job.Host, view.Job.Path)
+	worker.runner.Adopt(view, route.MaxAttempts, progress)
+	worker.Log.Info("job adopted", zap.String("job", view.Job.ID), zap.Int64("epoch", view.Owned.Epoch), zap.Int("written", len(view.Results)),
+		zap.Int("items", len(view.Job.Items)), zap.Int("begun", len(progress)))
+}
+
+// drop stops the items of a job that is not to be run here any more.
+func (worker *Worker) drop(id, reason string) {
+	worker.runner.Drop(id)
+	worker.Log.Info("job dropped", zap.String("job", id), zap.String("reason", reason))
+	for run := range worker.running {
+		if run.work.Job.ID == id {
+			run.cancel()
+		}
+	}
+}
+
+// claim records this process as the owner of a job whose owner is gone. The job is adopted once the view shows that:
+// it then also shows all that the former owner has written.
+func (worker *Worker) claim(ctx context.Context, view ledger.View) {
+	id := view.Job.ID
+	worker.claiming[id] = true
+	go func() {
+		key := worker.Node.Records.OwnKey(ledger.OwnershipKey(id))
+		value, err := ledger.Encode(view.Owned.WithOwner(worker.Node.Self().Owner()))
+		epoch := int64(0)
+		if err == nil {
+			epoch, _, err = worker.Node.Store.Commit(ctx, store.Txn{
+				Conditions: []store.Condition{{Key: key, Revision: view.Owned.Epoch}},
+				Writes:     []store.Write{{Key: key, Value: value}},
+			})
+		}
+		worker.events <- func() {
+			delete(worker.claiming, id)
+			worker.Log.Info("job claimed", zap.String("job", id), zap.String("owner", view.Owned.Owner), zap.Int64("epoch", epoch), zap.Error(err))
+		}
+	}()
+}
+
+// adoptBegun reads the progress that a former owner has left before it adopts a job.
+func (worker *Worker) adoptBegun(ctx context.Context, table *routes.Table, view ledger.View) {
+	id := view.Job.ID
+	worker.claiming[id] = true
+	go func() {
+		progress := worker.readProgress(ctx, id)
+		worker.events <- func() {
+			delete(worker.claiming, id)
+			if current, ok, _ := worker.Node.View(id); ok && current.Owned.Epoch == view.Owned.Epoch && worker.runner.Epoch(id) == 0 {
+				worker.adopt(table, current, progress)
+			}
+		}
+	}()
+}
+
+// readProgress returns what a former owner left of begun items; without it they start anew.
+func (worker *Worker) readProgress(ctx context.Context, id string) (progress map[string]jobs.Progress) {
+	item, ok, err := worker.Node.Store.Get(ctx, worker.Node.Records.OwnKey(progressKey(id)))
+	if err == nil && ok {
+		err = json.Unmarshal(item.Value, &progress)
+	}
+	if err != nil {
+		worker.Log.Warn("progress of a job not read; its items start anew", zap.String("job", id), zap.Error(err))
+		return nil
+	}
+	return progress
+}
+
+func progressKey(id string) string { return "progress/" + id }
+
+// admit starts items while engines have room.
+func (worker *Worker) admit(ctx context.Context, now time.Time) {
+	table := worker.Node.Table()
+	for table != nil && len(worker.running) < maxRunning && !worker.stopping {
+		work, ok := worker.runner.Next(now)
+		if !ok {
+			return
+		}
+		route, ok := table.Match(work.Job.Host, work.Item.Path)
+		if !ok {
+			worker.runner.Reject(work)
+			worker.Log.Info("item given up: it has no route", zap.String("job", work.Job.ID), zap.String("request", work.Item.ID), zap.Int64("configuration", table.Version))
+			continue
+		}
+		engine, ok := worker.Node.AcquireBatch(placement.Want{Service: route.Service(work.Item.ID), Domain: worker.Node.Settings.FailureDomain})
+		if !ok {
+			worker.runner.Unstart(work)
+			return
+		}
+		worker.start(ctx, work, engine)
+	}
+}
+
+func (worker *Worker) start(ctx context.Context, work jobs.Work, engine fleet.Engine) {
+	ctx, cancel := context.WithCancel(ctx)
+	run := &run{work: work, engine: engine, began: time.Now(), cancel: cancel}
+	worker.running[run] = true
+	go func() {
+		verdict, progress, cause := worker.runItem(ctx, work, engine)
+		cancel()
+		worker.events <- func() { worker.ended(run, verdict, progress, cause) }
+	}()
+}
+
+func (worker *Worker) ended(run *run, verdict jobs.Verdict, progress jobs.Progress, cause error) {
+	delete(worker.running, run)
+	worker.Node.Release(run.engine, true)
+	if run.yield {
+		verdict = jobs.Yielded
+	}
+	switch verdict {
+	case jobs.Finished, jobs.Rejected, jobs.Errored:
+		worker.Node.Served(run.engine)
+	case jobs.Refused, jobs.Broken:
+		worker.Node.Failed(run.engine)
+	case jobs.Yielded:
+	}
+	worker.Log.Info("item run", zap.String("job", run.work.Job.ID), zap.String("request", run.work.Item.ID), zap.String("engine", run.engine.ID),
+		zap.Stringer("verdict", verdict), zap.Int("events", len(progress.Data)), zap.Duration("took", time.Since(run.began)), zap.NamedError("cause", cause))
+	worker.runner.Ended(time.Now(), run.work, verdict, progress)
+}
+
+// yield cuts the youngest runs at engines that have more work than slots.
+func (worker *Worker) yield(yields map[uint64]int) {
+	for digest, count := range yields {
+		for ; count > 0; count-- {
+			var youngest *run
+			cut := 0
+			for run := range worker.running {
+				if run.engine.Digest() != digest {
+					continue
+				}
+				if run.yield {
+					cut++ // its slot will be free at once
+					continue
+				}
+				if youngest == nil || run.began.After(youngest.began) {
+					youngest = run
+				}
+			}
+			if youngest == nil || cut >= yields[digest] {
+				break
+			}
+			youngest.yield = true
+			youngest.cancel()
+		}
+	}
+}
+
+// flush writes results that wait.
+func (worker *Worker) flush(ctx context.Context, now time.Time) {
+	if worker.writing || now.Sub(worker.wroteAt) < commitPeriod || !worker.runner.Unwritten() {
+		return
+	}
+	parts := worker.runner.Commit()
+	txn, err := worker.resultsTxn(parts)
+	if err != nil {
+		worker.Log.Error("results could not be encoded", zap.Error(err))
+		return
+	}
+	worker.writing = true
+	go func() {
+		_, current, err := worker.Node.Store.Commit(ctx, txn)
+		worker.events <- func() { worker.wrote(txn, current, err) }
+	}()
+}
+
+func (worker *Worker) resultsTxn(parts []jobs.Part) (txn store.Txn, err error) {
+	for _, part := range parts {
+		value, err := ledger.Encode(part.Chunk)
+		if err != nil {
+			return txn, err
+		}
+		key := worker.Node.Records.OwnKey(ledger.ChunkKey(part.Job, part.Number))
+		owner := worker.Node.Records.OwnKey(ledger.OwnershipKey(part.Job))
+		txn.Conditions = append(txn.Conditions, store.Condition{Key: owner, Revision: part.Epoch}, store.Condition{Key: key})
+		txn.Writes = append(txn.Writes, store.Write{Key: key, Value: value})
+	}
+	return txn, nil
+}
+
+// wrote takes in what became of a write of results.
+func (worker *Worker) wrote(txn store.Txn, current []store.Item, err error) {
+	worker.writing, worker.wroteAt = false, time.Now()
+	switch {
+	case err == nil:
+		for _, id := range worker.runner.Committed() {
+			worker.Log.Info("job complete", zap.String("job", id))
+		}
+	case errors.Is(err, store.ErrConflict):
+		found := map[string]store.Item{}
+		for _, item := range current {
+			found[item.Key] = item
+		}
+		values := map[string]string{}
+		for _, write := range txn.Writes {
+			values[write.Key] = string(write.Value)
+		}
+		dropped := worker.runner.Conflicted(func(part jobs.Part) (written, owned bool) {
+			chunk := worker.Node.Records.OwnKey(ledger.ChunkKey(part.Job, part.Number))
+			owner := worker.Node.Records.OwnKey(ledger.OwnershipKey(part.Job))
+			written = found[chunk].Revision != 0 && string(found[chunk].Value) == values[chunk]
+			owned = found[owner].Revision == part.Epoch && (written || found[chunk].Revision == 0)
+			return written, owned
+		})
+		for _, id := range dropped {
+			worker.drop(id, "its epoch is over")
+		}
+	default:
+		// The same write is sent again: whether the first one took effect or not, only one can.
+		worker.Log.Warn("results not written yet", zap.Int("writes", len(txn.Writes)), zap.Error(err))
+		worker.wroteAt = time.Now().Add(commitRetry - commitPeriod)
+	}
+}
--- /dev/null
+++ b/io/protocol/member/mesh.go
@@ -0,0 +1,227 @@
+package member
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/quic-go/quic-go"
+	"go.uber.org/zap"
+
+	"cowslipway/core/coordination/placement"
+	"cowslipway/core/state/fleet"
+)
+
+const (
+	idleTimeout      = time.Second            // a silent peer's counts are worthless after that
+	keepAlive        = 300 * time.Millisecond // a third of the above
+	handshakeTimeout = time.Second
+	redialPause      = 500 * time.Millisecond
+)
+
+// Mesh keeps a connection to each other member and exchanges counts over it.
+type Mesh struct {
+	Self     fleet.Member
+	Identity Identity
+	Log      *zap.Logger
+	Heard    func(peer string, counts []placement.Counts) // nil counts: the peer is lost
+
+	mutex    sync.Mutex
+	members  map[string]fleet.Member // by owner name
+	links    map[string]*quic.Conn
+	dialing  map[string]bool
+	sequence uint64
+	socket   *quic.Transport
+	ctx      context.Context
+}
+
+func (mesh *Mesh) settings() *quic.Config {
+	return &quic.Config{
+		EnableDatagrams:       true,
+		MaxIdleTimeout:        idleTimeout,
+		KeepAlivePeriod:       keepAlive,
+		HandshakeIdleTimeout:  handshakeTimeout,
+		MaxIncomingStreams:    -1,
+		MaxIncomingUniStreams: -1,
+	}
+}
+
+// Run listens until ctx ends.
+func (mesh *Mesh) Run(ctx context.Context) (err error) {
+	defer func() { err = errors.Annotatef(err, "listening for members on %s", mesh.Self.Address) }()
+	address, err := net.ResolveUDPAddr("udp4", mesh.Self.Address)
+	if err != nil {
+		return err
+	}
+	socket, err := net.ListenUDP("udp4", address)
+	if err != nil {
+		return err
+	}
+	transport := &quic.Transport{Conn: socket}
+	defer func() { _ = transport.Close() }()
+	listener, err := transport.Listen(mesh.Identity.config(mesh.known), mesh.settings())
+	if err != nil {
+		return err
+	}
+	mesh.mutex.Lock()
+	mesh.socket, mesh.ctx = transport, ctx
+	mesh.mutex.Unlock()
+	mesh.dialMissing()
+	for {
+		link, err := listener.Accept(ctx)
+		if err != nil {
+			return nil // ctx has ended
+		}
+		peer, ok := mesh.peer(fingerprint(link.ConnectionState().TLS.PeerCertificates[0].Raw))
+		if !ok {
+			_ = link.CloseWithError(0, "unknown")
+			continue
+		}
+		go mesh.serve(peer, link)
+	}
+}
+
+func (mesh *Mesh) peer(fingerprint string) (peer fleet.Member, ok bool) {
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	for _, member := range mesh.members {
+		if member.Fingerprint == fingerprint {
+			return member, true
+		}
+	}
+	return peer, false
+}
+
+func (mesh *Mesh) known(fingerprint string) bool {
+	_, ok := mesh.peer(fingerprint)
+	return ok
+}
+
+// SetMembers replaces the members that connections are kept to.
+func (mesh *Mesh) SetMembers(members []fleet.Member) {
+	mesh.mutex.Lock()
+	mesh.members = make(map[string]fleet.Member, len(members))
+	for _, member := range members {
+		if member.Name != mesh.Self.Name {
+			mesh.members[member.Owner()] = member
+		}
+	}
+	for owner, link := range mesh.links {
+		if _, ok := mesh.members[owner]; !ok {
+			_ = link.CloseWithError(0, "gone")
+		}
+	}
+	mesh.mutex.Unlock()
+	mesh.dialMissing()
+}
+
+// dialMissing connects to the members that this one has to dial: of two, the one with the smaller name dials.
+func (mesh *Mesh) dialMissing() {
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	if mesh.socket == nil {
+		return
+	}
+	for owner, member := range mesh.members {
+		if mesh.links[owner] != nil || mesh.dialing[owner] || mesh.Self.Name > member.Name {
+			continue
+		}
+		if mesh.dialing == nil {
+			mesh.dialing = map[string]bool{}
+		}
+		mesh.dialing[owner] = true
+		go mesh.dial(member)
+	}
+}
+
+func (mesh *Mesh) dial(member fleet.Member) {
+	link, err := mesh.connect(member)
+	mesh.mutex.Lock()
+	delete(mesh.dialing, member.Owner())
+	mesh.mutex.Unlock()
+	if err == nil {
+		mesh.serve(member, link)
+	} else {
+		mesh.Log.Info("member not reached", zap.String("member", member.Owner()), zap.Error(err))
+	}
+	select {
+	case <-mesh.ctx.Done():
+	case <-time.After(redialPause):
+		mesh.dialMissing()
+	}
+}
+
+func (mesh *Mesh) connect(member fleet.Member) (link *quic.Conn, err error) {
+	address, err := net.ResolveUDPAddr("udp4", member.Address)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(mesh.ctx, handshakeTimeout)
+	defer cancel()
+	known := func(fingerprint string) bool { return fingerprint == member.Fingerprint }
+	return mesh.socket.Dial(ctx, address, mesh.Identity.config(known), mesh.settings())
+}
+
+// serve takes in a peer's counts until its connection ends.
+func (mesh *Mesh) serve(peer fleet.Member, link *quic.Conn) {
+	owner := peer.Owner()
+	mesh.mutex.Lock()
+	if mesh.links == nil {
+		mesh.links = map[string]*quic.Conn{}
+	}
+	mesh.links[owner] = link
+	mesh.mutex.Unlock()
+	mesh.Log.Info("member connected", zap.String("member", owner))
+	newest := uint64(0)
+	for {
+		message, err := link.ReceiveDatagram(mesh.ctx)
+		if err != nil {
+			mesh.lost(owner, link, err)
+			return
+		}
+		sequence, counts, err := Decode(message)
+		if err != nil {
+			mesh.Log.Warn("counts of a member could not be read", zap.String("member", owner), zap.Error(err))
+			continue
+		}
+		if sequence > newest { // an older datagram may arrive late
+			newest = sequence
+			mesh.Heard(owner, counts)
+		}
+	}
+}
+
+func (mesh *Mesh) lost(owner string, link *quic.Conn, cause error) {
+	_ = link.CloseWithError(0, "")
+	mesh.mutex.Lock()
+	current := mesh.links[owner] == link
+	if current {
+		delete(mesh.links, owner)
+	}
+	mesh.mutex.Unlock()
+	if current {
+		mesh.Heard(owner, nil)
+		mesh.Log.Info("member lost", zap.String("member", owner), zap.Error(cause))
+	}
+}
+
+// Tell sends counts to all members that are connected.
+func (mesh *Mesh) Tell(counts []placement.Counts) {
+	mesh.mutex.Lock()
+	mesh.sequence++
+	message, left := Encode(mesh.sequence, counts)
+	links := make([]*quic.Conn, 0, len(mesh.links))
+	for _, link := range mesh.links {
+		links = append(links, link)
+	}
+	mesh.mutex.Unlock()
+	if left > 0 {
+		mesh.Log.Warn("counts left out of a message", zap.Int("left", left))
+	}
+	for _, link := range links {
+		// A connection that fails is noticed by its reader.
+		_ = link.SendDatagram(message)
+	}
+}
