--- a/core/coordination/placement/placement.go
+++ b/core/coordination/placement/placement.go
@@ -4,19 +4,25 @@
 	"cmp"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"cowslipway/core/state/fleet"
 )
 
 const (
-	suspectBase    = 300 * time.Millisecond // an engine that broke a connection is left alone for this long at first
-	suspectLimit   = 3 * time.Second        // and for at most this long; a crashed engine is back after some seconds
-	batchHeadroom  = 1                      // slots of an engine that batch leaves free for the next online request
-	defaultSlots   = 8                      // of an engine whose entry names none
-	rateWindow     = time.Second            // over which the rate of releases is averaged
-	firstRateGuess = 20                     // releases a second before any was seen: two engines' worth
-	minRetryAfter  = 50 * time.Millisecond  // below that a caller would be back before a slot is
+	suspectBase   = 300 * time.Millisecond // an engine that broke a connection is left alone for this long at first
+	suspectLimit  = 3 * time.Second        // and for at most this long; a crashed engine is back after some seconds
+	batchHeadroom = 1                      // slots of an engine that batch leaves free for the next online request
+	defaultSlots  = 8                      // of an engine whose entry names none
+	// batchCooldown keeps batch items away from an engine that had more work than slots: online requests come in
+	// bursts of some seconds, and an item that is cut at once has only cost a connection and the reading of its prompt.
+	batchCooldown  = 700 * time.Millisecond
+	rateWindow     = time.Second           // over which the rate of releases is averaged
+	firstRateGuess = 20                    // releases a second before any was seen: two engines' worth
+	minRetryAfter  = 50 * time.Millisecond // below that a caller would be back before a slot is
 	maxRetryAfter  = 1500 * time.Millisecond
 )
 
@@ -61,6 +67,7 @@
 	otherBatch   int
 	failures     int // in a row
 	suspectUntil time.Time
+	crowdedAt    time.Time // when it last had more work than slots
 }
 
 func (engine *engine) total() int {
@@ -76,6 +83,7 @@
 
 // Pool is the state of the decisions of one process.
 type Pool struct {
+	Self   string // the name under which the others hear this process's counts
 	Random *rand.Rand
 
 	engines map[uint64]*engine
@@ -240,7 +248,7 @@
 	}
 	var emptiest *engine
 	for _, candidate := range pool.candidates(now, want) {
-		if candidate.total()+batchHeadroom < candidate.Slots && !now.Before(candidate.suspectUntil) && (emptiest == nil || candidate.total() < emptiest.total()) {
+		if candidate.total()+batchHeadroom < candidate.Slots && !now.Before(candidate.suspectUntil) && now.Sub(candidate.crowdedAt) >= batchCooldown && (emptiest == nil || candidate.total() < emptiest.total()) {
 			emptiest = candidate
 		}
 	}
@@ -316,20 +324,47 @@
 // Waiting returns the length of the queue.
 func (pool *Pool) Waiting() int { return len(pool.waiting) }
 
-// Yields returns how many of this process's batch items at each engine have to give their slot back: its part of
-// what is there beyond the engine's slots.
-func (pool *Pool) Yields() (yields map[uint64]int) {
+// Yields returns how many of this process's batch items at each engine have to give their slot back. What is there
+// beyond the engine's slots falls to the owners of its batch items in an order that all of them know, so that two
+// do not yield for the same request.
+func (pool *Pool) Yields(now time.Time) (yields map[uint64]int) {
 	for digest, engine := range pool.engines {
 		excess := engine.total() - engine.Slots
+		if excess <= 0 {
+			continue
+		}
+		engine.crowdedAt = now
+		for _, peer := range pool.before(digest) {
+			excess -= peer
+		}
 		if excess <= 0 || engine.batch == 0 {
 			continue
 		}
-		all := engine.batch + engine.otherBatch
-		part := min((excess*engine.batch+all-1)/all, engine.batch)
 		if yields == nil {
 			yields = map[uint64]int{}
 		}
-		yields[digest] = part
+		yields[digest] = min(excess, engine.batch)
 	}
 	return yields
 }
+
+// before returns the batch items at an engine of the processes that yield before this one.
+func (pool *Pool) before(digest uint64) (items []int) {
+	own := yieldOrder(pool.Self, digest)
+	for peer, counts := range pool.peers {
+		if yieldOrder(peer, digest) >= own {
+			continue
+		}
+		for _, count := range counts {
+			if count.Engine == digest && count.Batch > 0 {
+				items = append(items, count.Batch)
+			}
+		}
+	}
+	return items
+}
+
+// yieldOrder differs from engine to engine, so that no process always yields first.
+func yieldOrder(process string, digest uint64) uint64 {
+	return xxhash.Sum64String(process + "/" + strconv.FormatUint(digest, 16))
+}
--- /dev/null
+++ b/core/coordination/placement/placement_test.go
@@ -0,0 +1,218 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"cowslipway/core/state/fleet"
+)
+
+// script plays commands against one pool. Engines are named by their ID; time passes by "at".
+type script struct {
+	t       *testing.T
+	pool    *Pool
+	now     time.Time
+	start   time.Time
+	engines map[string]fleet.Engine
+}
+
+func TestPool(t *testing.T) {
+	datadriven.Walk(t, "testdata/pool", func(t *testing.T, path string) {
+		start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+		script := &script{t: t, now: start, start: start, engines: map[string]fleet.Engine{}}
+		script.pool = &Pool{Self: "self", Random: rand.New(rand.NewPCG(1, 2))}
+		datadriven.RunTest(t, path, func(_ *testing.T, data *datadriven.TestData) string {
+			return script.run(data)
+		})
+	})
+}
+
+func (script *script) run(data *datadriven.TestData) string {
+	var out strings.Builder
+	for line := range strings.Lines(data.Input) {
+		words := strings.Fields(line)
+		if len(words) == 0 {
+			continue
+		}
+		if answer := script.command(words); answer != "" {
+			fmt.Fprintln(&out, answer)
+		}
+	}
+	return out.String()
+}
+
+func (script *script) command(words []string) string {
+	arguments := map[string]string{}
+	for _, word := range words[1:] {
+		name, value, _ := strings.Cut(word, "=")
+		arguments[name] = value
+	}
+	switch words[0] {
+	case "at":
+		passed, err := time.ParseDuration(words[1])
+		must(script.t, err)
+		script.now = script.start.Add(passed)
+		return ""
+	case "engines":
+		return script.setEngines(words[1:])
+	case "hear":
+		return script.hear(words[1], words[2:])
+	case "online":
+		return script.online(arguments)
+	case "batch":
+		engine, ok := script.pool.Batch(script.now, Want{Service: "llm"})
+		if !ok {
+			return "no room"
+		}
+		return "batch at " + engine.ID
+	case "release":
+		script.pool.Release(script.now, script.engines[words[1]], len(words) > 2)
+		return ""
+	case "failed":
+		script.pool.Failed(script.now, script.engines[words[1]])
+		return ""
+	case "served":
+		script.pool.Served(script.engines[words[1]])
+		return ""
+	case "tick":
+		var lines []string
+		for _, grant := range script.pool.Tick(script.now) {
+			lines = append(lines, fmt.Sprintf("ticket %d: %s", grant.Ticket, describe(grant.Decision)))
+		}
+		return strings.Join(lines, "\n")
+	case "yields":
+		return script.yields()
+	}
+	script.t.Fatalf("unknown command %q", words[0])
+	return ""
+}
+
+func (script *script) setEngines(words []string) string {
+	var engines []fleet.Engine
+	for _, word := range words {
+		parts := strings.Split(word, ":") // id:slots[:draining|:born]
+		engine := fleet.Engine{ID: parts[0], Service: "llm", FailureDomain: "a"}
+		_, err := fmt.Sscan(parts[1], &engine.Slots)
+		must(script.t, err)
+		engine.Draining = slices.Contains(parts[2:], "draining")
+		if slices.Contains(parts[2:], "again") {
+			engine.Born = 1
+		}
+		engines = append(engines, engine)
+		script.engines[engine.ID] = engine
+	}
+	script.pool.SetEngines(engines)
+	return ""
+}
+
+func (script *script) hear(peer string, words []string) string {
+	if len(words) == 1 && words[0] == "lost" {
+		script.pool.Hear(peer, nil)
+		return ""
+	}
+	counts := []Counts{}
+	for _, word := range words { // id:online:batch
+		parts := strings.Split(word, ":")
+		count := Counts{Engine: script.engines[parts[0]].Digest()}
+		_, err := fmt.Sscan(parts[1]+" "+parts[2], &count.Online, &count.Batch)
+		must(script.t, err)
+		counts = append(counts, count)
+	}
+	script.pool.Hear(peer, counts)
+	return ""
+}
+
+func (script *script) online(arguments map[string]string) string {
+	patience := 240 * time.Millisecond
+	if text, ok := arguments["patience"]; ok {
+		var err error
+		patience, err = time.ParseDuration(text)
+		must(script.t, err)
+	}
+	times := 1
+	if text, ok := arguments["times"]; ok {
+		_, err := fmt.Sscan(text, &times)
+		must(script.t, err)
+	}
+	summary := map[string]int{}
+	for range times {
+		decision := script.pool.Online(script.now, Want{Service: "llm", Latest: script.now.Add(patience)})
+		summary[describe(decision)]++
+	}
+	var lines []string
+	for text, count := range summary {
+		if count > 1 {
+			text = fmt.Sprintf("%d x %s", count, text)
+		}
+		lines = append(lines, text)
+	}
+	slices.Sort(lines)
+	return strings.Join(lines, "\n")
+}
+
+func describe(decision Decision) string {
+	switch {
+	case decision.Admitted && decision.Urgent:
+		return "at " + decision.Engine.ID + ", a batch item gives way"
+	case decision.Admitted:
+		return "at " + decision.Engine.ID
+	case decision.Ticket != 0:
+		return fmt.Sprintf("waits as %d", decision.Ticket)
+	}
+	return fmt.Sprintf("refused (%s), back in %s", decision.Reason, decision.RetryAfter.Round(time.Millisecond))
+}
+
+func (script *script) yields() string {
+	yields := script.pool.Yields(script.now)
+	var lines []string
+	for id, engine := range script.engines {
+		if count := yields[engine.Digest()]; count > 0 {
+			lines = append(lines, fmt.Sprintf("%d at %s", count, id))
+		}
+	}
+	slices.Sort(lines)
+	return strings.Join(lines, "\n")
+}
+
+func must(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestOneProcessYields plays a burst of online requests over items of three workers: for each request beyond the
+// slots exactly one item gives way, whoever owns it, once all have heard the same.
+func TestOneProcessYields(t *testing.T) {
+	engine := fleet.Engine{ID: "e", Service: "llm", Slots: 8}
+	workers := []string{"w1", "w2", "w3"}
+	for online := 3; online <= 8; online++ {
+		total := 0
+		for _, self := range workers {
+			pool := &Pool{Self: self, Random: rand.New(rand.NewPCG(1, 2))}
+			pool.SetEngines([]fleet.Engine{engine})
+			pool.Hear("entry", []Counts{{Engine: engine.Digest(), Online: online}})
+			for range 2 {
+				if _, ok := pool.Batch(time.Now(), Want{Service: "llm"}); !ok && online == 3 {
+					t.Fatalf("no room beside %d online requests", online)
+				}
+			}
+			pool.engines[engine.Digest()].batch = 2
+			for _, other := range workers {
+				if other != self {
+					pool.Hear(other, []Counts{{Engine: engine.Digest(), Batch: 2}})
+				}
+			}
+			total += pool.Yields(time.Now())[engine.Digest()]
+		}
+		if excess := online + 6 - 8; total != excess {
+			t.Errorf("%d online requests beside 6 batch items at 8 slots: %d give way, want %d", online, total, excess)
+		}
+	}
+}
--- a/io/process/ingress/online.go
+++ b/io/process/ingress/online.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -25,6 +26,9 @@
 	// pauseFactor times the longest pause that is still on time makes a stream go on elsewhere.
 	pauseFactor = 2
 	copyBytes   = 16 << 10
+	// wholeBytes of an answer that is no stream are read before its head is handed on, so that another engine can
+	// still be tried when this one breaks off.
+	wholeBytes = 64 << 10
 )
 
 // outcome is how one attempt ended.
@@ -60,6 +64,7 @@
 	excluded  []uint64
 	mayHasRun bool
 	started   bool   // the head of the answer is with the caller
+	streaming bool   // the answer is a stream of events
 	lastEvent string // that the caller has had
 	events    int
 	firstAt   time.Time
@@ -137,7 +142,7 @@
 		online.excluded = append(online.excluded, decision.Engine.Digest())
 		if result == unknown {
 			online.mayHasRun = true
-			if !online.route.Repeatable() {
+			if !online.route.Repeatable() || online.started && !online.streaming {
 				break
 			}
 		}
@@ -216,11 +221,12 @@
 	case status >= http.StatusInternalServerError && online.route.Repeatable() && online.attempts < online.route.MaxAttempts:
 		exchange.Drain()
 		return unknown, errors.Errorf("status %d", status)
-	case online.started && status != http.StatusOK:
+	case online.started && (status != http.StatusOK || !isEvents(exchange.Response)):
 		exchange.Drain()
 		return unknown, errors.Errorf("status %d for the rest of a stream", status)
 	}
-	if online.route.Kind == routes.Stream && status == http.StatusOK {
+	if online.route.Kind == routes.Stream && status == http.StatusOK && isEvents(exchange.Response) {
+		online.streaming = true
 		err = online.forwardEvents(exchange, watchdog)
 	} else {
 		watchdog.stop()
@@ -238,6 +244,10 @@
 	return served, nil
 }
 
+func isEvents(response *http.Response) bool {
+	return strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream")
+}
+
 // blame records a failure of engine, unless the caller has left or the time was up.
 func (online *online) blame(engine fleet.Engine) {
 	if online.request.Context().Err() == nil && (online.expires.IsZero() || time.Now().Before(online.expires)) {
@@ -331,10 +341,19 @@
 	}
 }
 
+// forwardBody hands an answer on that is no stream of events.
 func (online *online) forwardBody(exchange *upstream.Exchange) (err error) {
+	defer func() { err = errors.Annotate(err, "forwarding a body") }()
+	start, err := io.ReadAll(io.LimitReader(exchange.Response.Body, wholeBytes))
+	if err != nil {
+		return err
+	}
 	online.head(exchange.Response)
+	if _, err = online.writer.Write(start); err != nil {
+		return err
+	}
 	_, err = io.CopyBuffer(online.writer, exchange.Response.Body, make([]byte, copyBytes))
-	return errors.Annotate(err, "forwarding a body")
+	return err
 }
 
 func (online *online) log(message string, engine fleet.Engine, fields ...zap.Field) {
--- a/io/process/ingress/server.go
+++ b/io/process/ingress/server.go
@@ -135,7 +135,7 @@
 	}
 	writer.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	writer.WriteHeader(status)
-	_, _ = io.WriteString(writer, reason+"\n") // a caller that is gone needs no answer
+	_, _ = io.WriteString(writer, reason+"\n") //nolint:gosec // plain text; a caller that is gone needs no answer
 	server.Log.Info("refused", zap.String("request", call.RequestID), zap.String("job", call.JobID), zap.Int("status", status),
 		zap.Duration("retry_after", retryAfter), zap.String("reason", reason))
 }
--- a/io/process/node/node.go
+++ b/io/process/node/node.go
@@ -77,6 +77,7 @@
 	node.Store = &store.Store{Driver: node.Driver, Timeout: storeTimeout, Changed: node.storeChanged}
 	node.Upstream = &upstream.Pool{DialTimeout: dialTimeout, Engines: node.Engines}
 	node.mesh = &member.Mesh{Self: node.self, Identity: identity, Log: node.Log, Heard: node.heard}
+	node.pool.Self = node.self.Owner()
 	node.pool.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	node.tickets = map[int]chan placement.Decision{}
 	node.again = make(chan struct{}, 1)
--- a/io/process/node/placing.go
+++ b/io/process/node/placing.go
@@ -32,7 +32,7 @@
 	node.placing.Lock()
 	node.pool.Hear(peer, counts)
 	node.hand(node.pool.Tick(time.Now()))
-	yields := node.pool.Yields()
+	yields := node.pool.Yields(time.Now())
 	node.placing.Unlock()
 	node.yield(yields)
 }
@@ -67,7 +67,7 @@
 			if node.pool.Waiting() > 0 {
 				node.hand(node.pool.Tick(now))
 			}
-			yields := node.pool.Yields()
+			yields := node.pool.Yields(now)
 			node.placing.Unlock()
 			node.yield(yields)
 			node.tell(now, false)
