--- a/io/port/port.go
+++ b/io/port/port.go
@@ -25,6 +25,9 @@
 type Records interface {
 	// Classify tells what lies under key, and the rest of the key that names it.
 	Classify(key string) (kind RecordKind, name string)
+	// Prefixes returns what all records' keys begin with, the most urgent first; own is a prefix of the system's own
+	// records that is urgent too.
+	Prefixes(own string) (prefixes []string)
 	// OwnKey returns the key of one of the system's own records.
 	OwnKey(name string) (key string)
 	// Configuration reads a routing table.
--- a/io/process/node/directory.go
+++ b/io/process/node/directory.go
@@ -30,31 +30,28 @@
 	node  *Node
 	table atomic.Pointer[routes.Table]
 
-	mutex    sync.Mutex
-	engines  map[string]fleet.Engine // by ID
-	lapsed   map[string]time.Time    // engines without an entry that may come back until then
-	members  map[string]fleet.Member // by name
-	retiring map[string]bool
-	book     ledger.Book
-	asked    time.Time // the view is at least as new
-	back     time.Time // when the store was reached again, or first
-	changed  chan struct{}
+	mutex      sync.Mutex
+	engines    map[string]fleet.Engine // by ID
+	engineKeys map[string]string       // of their records, by ID
+	lapsed     map[string]time.Time    // engines without an entry that may come back until then
+	members    map[string]fleet.Member // by name
+	retiring   map[string]string       // VMs, with their records' keys
+	book       ledger.Book
+	asked      time.Time // the view is at least as new
+	back       time.Time // when the store was reached again, or first
+	changed    chan struct{}
 }
 
 func (directory *directory) init(node *Node) {
 	directory.node = node
 	directory.changed = make(chan struct{})
-	directory.reset()
+	directory.retiring = map[string]string{}
+	directory.engineKeys = map[string]string{}
 	directory.members = map[string]fleet.Member{}
 	directory.engines = map[string]fleet.Engine{}
 	directory.lapsed = map[string]time.Time{}
 }
 
-func (directory *directory) reset() {
-	directory.retiring = map[string]bool{}
-	directory.book.Clear()
-}
-
 func (directory *directory) regained() {
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
@@ -71,7 +68,7 @@
 func (directory *directory) apply(update store.Update) {
 	directory.mutex.Lock()
 	if update.Reset {
-		directory.forget(update.Items)
+		directory.forget(update.Prefix, update.Items)
 	}
 	engines, members := update.Reset, update.Reset
 	for _, item := range update.Items {
@@ -86,7 +83,7 @@
 			if item.Deleted {
 				delete(directory.retiring, name)
 			} else {
-				directory.retiring[name] = true
+				directory.retiring[name] = item.Key
 			}
 		case port.OwnRecord:
 			if id, ok := strings.CutPrefix(name, memberPrefix); ok {
@@ -112,32 +109,32 @@
 	}
 }
 
-// forget drops what is not among all the items that exist.
-func (directory *directory) forget(items []store.Item) {
-	directory.reset()
+// forget drops what is below prefix but not among all the items that exist there.
+func (directory *directory) forget(prefix string, items []store.Item) {
+	records := directory.node.Records
 	exists := map[string]bool{}
 	for _, item := range items {
 		exists[item.Key] = true
 	}
-	for id := range directory.engines {
-		if !directory.exists(exists, port.EngineRecord, id) {
+	gone := func(key string) bool { return strings.HasPrefix(key, prefix) && !exists[key] }
+	for id, key := range directory.engineKeys {
+		if gone(key) {
 			directory.lapse(id)
 		}
 	}
 	for name := range directory.members {
-		if !exists[directory.node.Records.OwnKey(memberPrefix+name)] {
+		if gone(records.OwnKey(memberPrefix + name)) {
 			delete(directory.members, name)
 		}
 	}
-}
-
-func (directory *directory) exists(keys map[string]bool, wanted port.RecordKind, id string) bool {
-	for key := range keys {
-		if kind, name := directory.node.Records.Classify(key); kind == wanted && name == id {
-			return true
+	for name, key := range directory.retiring {
+		if gone(key) {
+			delete(directory.retiring, name)
 		}
 	}
-	return false
+	if prefix == records.OwnKey("") {
+		directory.book.Clear()
+	}
 }
 
 func (directory *directory) applyConfiguration(item store.Item) {
@@ -172,7 +169,7 @@
 		directory.node.Log.Info("engine listed", zap.String("engine", engine.Incarnation()), zap.String("address", engine.Address),
 			zap.String("service", engine.Service), zap.Bool("draining", engine.Draining), zap.Int64("revision", item.Revision))
 	}
-	directory.engines[id] = engine
+	directory.engines[id], directory.engineKeys[id] = engine, item.Key
 	delete(directory.lapsed, id)
 }
 
@@ -189,6 +186,7 @@
 		return
 	}
 	delete(directory.engines, id)
+	delete(directory.engineKeys, id)
 	directory.node.Log.Info("engine gone", zap.String("engine", id))
 }
 
@@ -200,6 +198,7 @@
 		if now.After(until) {
 			delete(directory.lapsed, id)
 			delete(directory.engines, id)
+			delete(directory.engineKeys, id)
 			directory.node.Log.Info("engine gone", zap.String("engine", id))
 			expired = true
 		}
--- a/io/process/node/node.go
+++ b/io/process/node/node.go
@@ -93,7 +93,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return node.mesh.Run(ctx) })
 	group.Go(func() error {
-		follower := &store.Follower{Store: node.Store, Pace: followPace, Wait: followWait, Handle: node.directory.apply}
+		follower := &store.Follower{Store: node.Store, Prefixes: node.Records.Prefixes(memberPrefix), Pace: followPace, Wait: followWait, Handle: node.directory.apply}
 		follower.Run(ctx)
 		return nil
 	})
--- a/io/store/follow.go
+++ b/io/store/follow.go
@@ -9,19 +9,21 @@
 
 // Update is news of the keys that a follower keeps a view of.
 type Update struct {
-	Reset    bool // Items are all that exist; what is not among them is gone
+	Reset    bool   // Items are all that exist below Prefix; what is not among them is gone
+	Prefix   string // of a reset
 	Items    []Item
 	Revision int64
 	Asked    time.Time // the view is at least as new as the store was then
 }
 
-// Follower keeps a view of the keys below Prefix current with one paced watch.
+// Follower keeps a view of the keys below some prefixes current with one paced watch on the whole store: one call
+// brings the news of all of them.
 type Follower struct {
-	Store  *Store
-	Prefix string
-	Pace   time.Duration // between two calls, so that many changes cost few calls
-	Wait   time.Duration // a watch returns after this long without changes
-	Handle func(Update)
+	Store    *Store
+	Prefixes []string      // what is needed first comes first: listing all of them may take a second
+	Pace     time.Duration // between two calls, so that many changes cost few calls
+	Wait     time.Duration // a watch returns after this long without changes
+	Handle   func(Update)
 }
 
 // Run follows until ctx ends.
@@ -30,14 +32,11 @@
 	for ctx.Err() == nil {
 		asked := time.Now()
 		if revision == 0 {
-			items, current, err := follower.Store.ListAll(ctx, follower.Prefix)
-			if err == nil {
-				revision = current
-				follower.Handle(Update{Reset: true, Items: items, Revision: current, Asked: asked})
+			if revision = follower.list(ctx); revision != 0 {
 				continue
 			}
 		} else {
-			items, current, err := follower.Store.Watch(ctx, follower.Prefix, revision, follower.Wait)
+			items, current, err := follower.Store.Watch(ctx, "", revision, follower.Wait)
 			switch {
 			case err == nil && current >= revision:
 				revision = current
@@ -55,3 +54,19 @@
 		timer.Stop()
 	}
 }
+
+// list reads all keys and returns the revision to watch from; 0 where the store failed.
+func (follower *Follower) list(ctx context.Context) (revision int64) {
+	for _, prefix := range follower.Prefixes {
+		asked := time.Now()
+		items, current, err := follower.Store.ListAll(ctx, prefix)
+		if err != nil {
+			return 0
+		}
+		if revision == 0 {
+			revision = current
+		}
+		follower.Handle(Update{Reset: true, Prefix: prefix, Items: items, Revision: current, Asked: asked})
+	}
+	return revision
+}
