--- a/io/process/cli/member.go
+++ b/io/process/cli/member.go
@@ -56,7 +56,7 @@
 	go func() {
 		for range hangups {
 			read, err := settings.ReadMember(command.Settings, callers)
-			log.Info("settings read again", zap.Bool("changed", err == nil && read != current), zap.Any("settings", read), zap.Error(err))
+			log.Info("settings read again", zap.Bool("changed", err == nil && read != current), zap.Any("settings", read), telemetry.Err(err))
 		}
 	}()
 }
--- a/io/process/ingress/jobs.go
+++ b/io/process/ingress/jobs.go
@@ -110,7 +110,8 @@
 		select {
 		case <-ctx.Done():
 			if lost {
-				return errors.WithType(err, store.ErrUnknown)
+				// Not err as it is: the last call's certainty says nothing of the earlier ones.
+				return errors.Annotate(store.ErrUnknown, err.Error())
 			}
 			return err
 		case <-time.After(writePause):
--- a/io/process/ingress/online.go
+++ b/io/process/ingress/online.go
@@ -16,6 +16,8 @@
 	"cowslipway/core/state/routes"
 	"cowslipway/io/port"
 	"cowslipway/io/transport/upstream"
+
+	"cowslipway/io/process/telemetry"
 )
 
 const (
@@ -135,7 +137,7 @@
 		}
 		online.attempts++
 		result, cause := online.attempt(ctx, decision.Engine)
-		online.log("attempt", decision.Engine, zap.Stringer("outcome", result), zap.Bool("urgent", decision.Urgent), zap.NamedError("cause", cause))
+		online.log("attempt", decision.Engine, zap.Stringer("outcome", result), zap.Bool("urgent", decision.Urgent), telemetry.Cause("cause", cause))
 		if result == served || result == final {
 			return
 		}
--- a/io/process/ingress/server.go
+++ b/io/process/ingress/server.go
@@ -16,6 +16,8 @@
 
 	"cowslipway/io/port"
 	"cowslipway/io/process/node"
+
+	"cowslipway/io/process/telemetry"
 )
 
 const (
@@ -92,7 +94,7 @@
 	limited, cancel := context.WithTimeout(ctx, max(0, grace-linger-min(stopMargin, grace/4)))
 	defer cancel()
 	if err := main.Shutdown(limited); err != nil {
-		server.Log.Warn("requests cut by the stop", zap.Error(err))
+		server.Log.Warn("requests cut by the stop", telemetry.Err(err))
 		_ = main.Close()
 	}
 	server.Node.Deregister(limited)
--- a/io/process/node/directory.go
+++ b/io/process/node/directory.go
@@ -17,6 +17,8 @@
 	"cowslipway/core/state/routes"
 	"cowslipway/io/port"
 	"cowslipway/io/store"
+
+	"cowslipway/io/process/telemetry"
 )
 
 const (
@@ -90,7 +92,7 @@
 				directory.applyMember(id, item)
 				members = true
 			} else if err := directory.book.Apply(name, item.Value, item.Revision, item.Deleted); err != nil {
-				directory.node.Log.Warn("batch record ignored", zap.String("key", item.Key), zap.Error(err))
+				directory.node.Log.Warn("batch record ignored", zap.String("key", item.Key), telemetry.Err(err))
 			}
 		case port.OtherRecord:
 		}
@@ -145,7 +147,7 @@
 	current := directory.table.Load()
 	switch {
 	case err != nil:
-		directory.node.Log.Error("configuration ignored", zap.Int64("revision", item.Revision), zap.Error(err))
+		directory.node.Log.Error("configuration ignored", zap.Int64("revision", item.Revision), telemetry.Err(err))
 	case current == nil || table.Version > current.Version:
 		directory.table.Store(table)
 		directory.node.Log.Info("configuration in force", zap.Int64("version", table.Version), zap.Int64("revision", item.Revision), zap.Int("routes", len(table.Routes)))
@@ -159,7 +161,7 @@
 	}
 	engine, err := directory.node.Records.Engine(id, item.Value)
 	if err != nil {
-		directory.node.Log.Warn("engine's entry ignored", zap.String("engine", id), zap.Error(err))
+		directory.node.Log.Warn("engine's entry ignored", zap.String("engine", id), telemetry.Err(err))
 		delete(directory.engines, id)
 		delete(directory.lapsed, id)
 		return
@@ -217,7 +219,7 @@
 	}
 	var member fleet.Member
 	if err := json.Unmarshal(item.Value, &member); err != nil || member.Name != name {
-		directory.node.Log.Warn("member's record ignored", zap.String("member", name), zap.Error(err))
+		directory.node.Log.Warn("member's record ignored", zap.String("member", name), telemetry.Err(err))
 		return
 	}
 	if name == self.Name && member.Boot != self.Boot {
--- a/io/process/node/node.go
+++ b/io/process/node/node.go
@@ -21,6 +21,8 @@
 	"cowslipway/io/protocol/member"
 	"cowslipway/io/store"
 	"cowslipway/io/transport/upstream"
+
+	"cowslipway/io/process/telemetry"
 )
 
 const (
@@ -187,7 +189,7 @@
 func (node *Node) Deregister(ctx context.Context) {
 	if lease := node.currentLease(); lease != 0 {
 		if err := node.Store.EndLease(ctx, lease); err != nil {
-			node.Log.Warn("lease could not be ended", zap.Error(err))
+			node.Log.Warn("lease could not be ended", telemetry.Err(err))
 		}
 	}
 }
--- a/io/process/telemetry/member.go
+++ b/io/process/telemetry/member.go
@@ -92,3 +92,14 @@
 func droppedLine(count int64) string {
 	return `{"level":"warn","msg":"log lines dropped","count":` + strconv.FormatInt(count, 10) + "}\n"
 }
+
+// Err is a log field with the text of err alone: its trace would make the line three times as long.
+func Err(err error) zap.Field { return Cause("error", err) }
+
+// Cause is a log field with the text of err; none where there is no error.
+func Cause(name string, err error) zap.Field {
+	if err == nil {
+		return zap.Skip()
+	}
+	return zap.String(name, err.Error())
+}
--- a/io/process/worker/stop.go
+++ b/io/process/worker/stop.go
@@ -11,6 +11,8 @@
 	"cowslipway/core/state/fleet"
 	"cowslipway/core/state/ledger"
 	"cowslipway/io/store"
+
+	"cowslipway/io/process/telemetry"
 )
 
 // stop hands the jobs over and deregisters, within the grace period.
@@ -24,24 +26,44 @@
 	worker.Log.Info("stopped")
 }
 
-// retire empties this VM where the operator asks for it; a live worker answers for a VM that runs none.
-func (worker *Worker) retire(ctx context.Context) {
-	self := worker.Node.Self().Name
-	if worker.retired || worker.stopping || !slices.Contains(worker.Node.Retirements(), self) {
+// retire empties this VM where the operator asks for it, and answers for VMs on which no worker lives: their jobs go to
+// others by themselves, and nothing else that lasts is on them.
+func (worker *Worker) retire(ctx context.Context, workers []fleet.Member) {
+	if worker.stopping {
 		return
 	}
-	worker.retired = true
-	worker.Log.Info("retiring")
-	worker.handOver(ctx)
-	key, value := worker.Node.Records.RetirementAnswer(self, true)
+	self := worker.Node.Self()
+	for _, name := range worker.Node.Retirements() {
+		alive := slices.ContainsFunc(workers, func(member fleet.Member) bool { return member.Name == name })
+		switch {
+		case worker.retired[name]:
+		case name == self.Name:
+			worker.retired[name] = true
+			worker.Log.Info("retiring")
+			worker.handOver(ctx)
+			go worker.reportRetirement(ctx, name)
+			return
+		case !alive && jobs.PreferredOwner(name, workers) == self.Owner():
+			worker.retired[name] = true
+			go worker.reportRetirement(ctx, name)
+		}
+	}
+}
+
+// reportRetirement tells the operator that a VM is empty.
+func (worker *Worker) reportRetirement(ctx context.Context, name string) {
+	key, value := worker.Node.Records.RetirementAnswer(name, true)
 	for ctx.Err() == nil {
 		_, _, err := worker.Node.Store.Commit(ctx, store.Txn{Writes: []store.Write{{Key: key, Value: value}}})
 		if err == nil {
-			worker.Log.Info("retired")
+			worker.Log.Info("retired", zap.String("retired_vm", name))
 			return
 		}
-		worker.Log.Warn("retirement not reported yet", zap.Error(err))
-		worker.await(ctx, commitRetry)
+		worker.Log.Warn("retirement not reported yet", zap.String("retired_vm", name), telemetry.Err(err))
+		select {
+		case <-ctx.Done():
+		case <-time.After(commitRetry):
+		}
 	}
 }
 
@@ -62,7 +84,7 @@
 	}
 	for _, id := range worker.runner.IDs() {
 		if err := worker.giveAway(limited, id); err != nil {
-			worker.Log.Warn("job not handed over; it goes to another worker when the lease ends", zap.String("job", id), zap.Error(err))
+			worker.Log.Warn("job not handed over; it goes to another worker when the lease ends", zap.String("job", id), telemetry.Err(err))
 			continue
 		}
 		worker.Log.Info("job handed over", zap.String("job", id))
--- a/io/process/worker/worker.go
+++ b/io/process/worker/worker.go
@@ -16,6 +16,8 @@
 	"cowslipway/core/state/routes"
 	"cowslipway/io/process/node"
 	"cowslipway/io/store"
+
+	"cowslipway/io/process/telemetry"
 )
 
 const (
@@ -37,11 +39,12 @@
 	running  map[*run]bool
 	events   chan event
 	claiming map[string]bool
+	complete map[string]bool // jobs whose last results are written, until the view shows them
 	writing  bool
 	wroteAt  time.Time
 	scanned  time.Time
 	stopping bool
-	retired  bool
+	retired  map[string]bool // VMs that were reported as empty
 }
 
 // event changes the control state; all of them are carried out by one goroutine.
@@ -59,7 +62,8 @@
 // Run works until ctx ends, and then hands its jobs over.
 func (worker *Worker) Run(ctx context.Context) (err error) {
 	defer func() { err = errors.Annotate(err, "running batch jobs") }()
-	worker.running, worker.claiming = map[*run]bool{}, map[string]bool{}
+	worker.running, worker.claiming, worker.complete = map[*run]bool{}, map[string]bool{}, map[string]bool{}
+	worker.retired = map[string]bool{}
 	worker.events = make(chan event, 256)
 	worker.Node.Yield = func(yields map[uint64]int) {
 		select {
@@ -129,7 +133,9 @@
 			if epoch != 0 {
 				drop = append(drop, id)
 			}
-		case epoch != 0 || worker.claiming[id] || len(view.Results) >= len(view.Job.Items) || worker.stopping:
+		case len(view.Results) >= len(view.Job.Items):
+			delete(worker.complete, id)
+		case epoch != 0 || worker.claiming[id] || worker.complete[id] || worker.stopping:
 		case view.Owned.Owner == self:
 			adopt = append(adopt, view)
 		case !live[view.Owned.Owner] && live[self] && jobs.PreferredOwner(id, workers) == self:
@@ -150,7 +156,7 @@
 	for _, view := range claim {
 		worker.claim(ctx, view)
 	}
-	worker.retire(ctx)
+	worker.retire(ctx, workers)
 }
 
 func (worker *Worker) adopt(table *routes.Table, view ledger.View, progress map[string]jobs.Progress) {
@@ -188,7 +194,7 @@
 		}
 		worker.events <- func() {
 			delete(worker.claiming, id)
-			worker.Log.Info("job claimed", zap.String("job", id), zap.String("owner", view.Owned.Owner), zap.Int64("epoch", epoch), zap.Error(err))
+			worker.Log.Info("job claimed", zap.String("job", id), zap.String("owner", view.Owned.Owner), zap.Int64("epoch", epoch), telemetry.Err(err))
 		}
 	}()
 }
@@ -215,7 +221,7 @@
 		err = json.Unmarshal(item.Value, &progress)
 	}
 	if err != nil {
-		worker.Log.Warn("progress of a job not read; its items start anew", zap.String("job", id), zap.Error(err))
+		worker.Log.Warn("progress of a job not read; its items start anew", zap.String("job", id), telemetry.Err(err))
 		return nil
 	}
 	return progress
@@ -271,7 +277,7 @@
 	case jobs.Yielded:
 	}
 	worker.Log.Info("item run", zap.String("job", run.work.Job.ID), zap.String("request", run.work.Item.ID), zap.String("engine", run.engine.ID),
-		zap.Stringer("verdict", verdict), zap.Int("events", len(progress.Data)), zap.Duration("took", time.Since(run.began)), zap.NamedError("cause", cause))
+		zap.Stringer("verdict", verdict), zap.Int("events", len(progress.Data)), zap.Duration("took", time.Since(run.began)), telemetry.Cause("cause", cause))
 	worker.runner.Ended(time.Now(), run.work, verdict, progress)
 }
 
@@ -310,7 +316,7 @@
 	parts := worker.runner.Commit()
 	txn, err := worker.resultsTxn(parts)
 	if err != nil {
-		worker.Log.Error("results could not be encoded", zap.Error(err))
+		worker.Log.Error("results could not be encoded", telemetry.Err(err))
 		return
 	}
 	worker.writing = true
@@ -340,6 +346,7 @@
 	switch {
 	case err == nil:
 		for _, id := range worker.runner.Committed() {
+			worker.complete[id] = true
 			worker.Log.Info("job complete", zap.String("job", id))
 		}
 	case errors.Is(err, store.ErrConflict):
@@ -363,7 +370,7 @@
 		}
 	default:
 		// The same write is sent again: whether the first one took effect or not, only one can.
-		worker.Log.Warn("results not written yet", zap.Int("writes", len(txn.Writes)), zap.Error(err))
+		worker.Log.Warn("results not written yet", zap.Int("writes", len(txn.Writes)), telemetry.Err(err))
 		worker.wroteAt = time.Now().Add(commitRetry - commitPeriod)
 	}
 }
--- a/io/protocol/member/mesh.go
+++ b/io/protocol/member/mesh.go
@@ -12,6 +12,8 @@
 
 	"cowslipway/core/coordination/placement"
 	"cowslipway/core/state/fleet"
+
+	"cowslipway/io/process/telemetry"
 )
 
 const (
@@ -144,7 +146,7 @@
 	if err == nil {
 		mesh.serve(member, link)
 	} else {
-		mesh.Log.Info("member not reached", zap.String("member", member.Owner()), zap.Error(err))
+		mesh.Log.Info("member not reached", zap.String("member", member.Owner()), telemetry.Err(err))
 	}
 	select {
 	case <-mesh.ctx.Done():
@@ -183,7 +185,7 @@
 		}
 		sequence, counts, err := Decode(message)
 		if err != nil {
-			mesh.Log.Warn("counts of a member could not be read", zap.String("member", owner), zap.Error(err))
+			mesh.Log.Warn("counts of a member could not be read", zap.String("member", owner), telemetry.Err(err))
 			continue
 		}
 		if sequence > newest { // an older datagram may arrive late
@@ -203,7 +205,7 @@
 	mesh.mutex.Unlock()
 	if current {
 		mesh.Heard(owner, nil)
-		mesh.Log.Info("member lost", zap.String("member", owner), zap.Error(cause))
+		mesh.Log.Info("member lost", zap.String("member", owner), telemetry.Err(cause))
 	}
 }
 
--- a/io/protocol/platform/write.go
+++ b/io/protocol/platform/write.go
@@ -129,14 +129,15 @@
 func retryLost(ctx context.Context, store *Store, priority Priority, txn TxnRequest, witness, operation string) (revision int64, err error) {
 	answer, err := store.Txn(ctx, priority, txn)
 	if err != nil {
-		return 0, errors.WithType(err, ErrUnknown)
+		// Not err as it is: that the second call was not sent says nothing of the first.
+		return 0, errors.Annotate(ErrUnknown, err.Error())
 	}
 	if answer.Succeeded {
 		return answer.Header.Revision, nil
 	}
 	current, err := Read[json.RawMessage](ctx, store, priority, witness)
 	if err != nil {
-		return 0, errors.WithType(err, ErrUnknown)
+		return 0, errors.Annotate(ErrUnknown, err.Error())
 	}
 	if current.Operation == operation {
 		return current.Revision, nil
