reporter: the engine's own word on its load

Ruled out: a lack of slots (the same bursts pass where all hear each other).

A process beside each engine asks for its report every 40 ms, which costs nothing on its own VM, and tells all members; what stays above the counts for three reports is taken as online work of somebody unheard.

--- a/core/coordination/placement/placement.go
+++ b/core/coordination/placement/placement.go
@@ -15,6 +15,7 @@
 const (
 	suspectBase   = 300 * time.Millisecond // an engine that broke a connection is left alone for this long at first
 	suspectLimit  = 3 * time.Second        // and for at most this long; a crashed engine is back after some seconds
+	reportsKept   = 3                      // 120 ms of an engine's reports
 	batchHeadroom = 1                      // slots of an engine that batch leaves free for the next online request
 	defaultSlots  = 8                      // of an engine whose entry names none
 	// batchCooldown keeps batch items away from an engine that had more work than slots: online requests come in
@@ -67,14 +68,31 @@
 	otherBatch   int
 	failures     int // in a row
 	suspectUntil time.Time
-	crowdedAt    time.Time // when it last had more work than slots
+	crowdedAt    time.Time        // when it last had more work than slots
+	unknown      [reportsKept]int // work beyond what is known of, at each of the last reports
+	reports      int
+}
+
+// foreign is work at the engine that no process has told of, such as that of one which is cut off from this one. A single
+// report proves none: the counts are a little older or newer than it.
+func (engine *engine) foreign() int {
+	if engine.reports < reportsKept {
+		return 0
+	}
+	return max(0, slices.Min(engine.unknown[:]))
 }
 
 func (engine *engine) total() int {
+	return engine.counted() + engine.foreign()
+}
+
+// counted is the work that processes have told of.
+func (engine *engine) counted() int {
 	return engine.online + engine.batch + engine.otherOnline + engine.otherBatch
 }
 
-func (engine *engine) allOnline() int { return engine.online + engine.otherOnline }
+// allOnline takes foreign work as online, since batch items of others are never worth more.
+func (engine *engine) allOnline() int { return engine.online + engine.otherOnline + engine.foreign() }
 
 type waiter struct {
 	ticket int
@@ -126,6 +144,16 @@
 	pool.sumPeers()
 }
 
+// Report takes in how many requests an engine says that it has, at an address.
+func (pool *Pool) Report(address string, requests int) {
+	for _, engine := range pool.engines {
+		if engine.Address == address {
+			engine.unknown[engine.reports%reportsKept] = requests - engine.counted()
+			engine.reports++
+		}
+	}
+}
+
 func (pool *Pool) sumPeers() {
 	for _, engine := range pool.engines {
 		engine.otherOnline, engine.otherBatch = 0, 0
--- a/core/coordination/placement/placement_test.go
+++ b/core/coordination/placement/placement_test.go
@@ -80,6 +80,14 @@
 	case "served":
 		script.pool.Served(script.engines[words[1]])
 		return ""
+	case "report":
+		for _, word := range words[2:] {
+			var requests int
+			_, err := fmt.Sscan(word, &requests)
+			must(script.t, err)
+			script.pool.Report(words[1], requests)
+		}
+		return ""
 	case "tick":
 		var lines []string
 		for _, grant := range script.pool.Tick(script.now) {
@@ -97,7 +105,7 @@
 	var engines []fleet.Engine
 	for _, word := range words {
 		parts := strings.Split(word, ":") // id:slots[:draining|:born]
-		engine := fleet.Engine{ID: parts[0], Service: "llm", FailureDomain: "a"}
+		engine := fleet.Engine{ID: parts[0], Service: "llm", FailureDomain: "a", Address: parts[0]}
 		_, err := fmt.Sscan(parts[1], &engine.Slots)
 		must(script.t, err)
 		engine.Draining = slices.Contains(parts[2:], "draining")
--- a/core/state/fleet/fleet.go
+++ b/core/state/fleet/fleet.go
@@ -34,6 +34,8 @@
 const (
 	IngressRole Role = "ingress" // callers' HTTP, online requests
 	WorkerRole  Role = "worker"  // batch jobs
+	// ReporterRole tells the others what the engine on its VM is doing.
+	ReporterRole Role = "reporter"
 )
 
 // Member is a running process of the system.
@@ -45,6 +47,7 @@
 	Address       string `json:"address"`     // UDP, for peers
 	Fingerprint   string `json:"fingerprint"` // SHA-256 of its TLS certificate, in hexadecimal
 	Leaving       bool   `json:"leaving,omitempty"`
+	Engine        string `json:"engine,omitempty"` // address of the engine that a reporter is beside
 }
 
 // Owner names one start of a member, as the owner of batch jobs.
--- a/io/port/port.go
+++ b/io/port/port.go
@@ -99,4 +99,8 @@
 	Apply(header http.Header, attempt Attempt)
 	// Answer decodes the head of a response.
 	Answer(response *http.Response) Answer
+	// ReportURL returns where an engine tells its load.
+	ReportURL(address string) (url string)
+	// Report decodes an engine's word on its load; it leaves out the slots.
+	Report(body []byte) (load Load, err error)
 }
--- a/io/process/cli/commands.go
+++ b/io/process/cli/commands.go
@@ -47,6 +47,14 @@
 			return &workerCommand{memberCommand: memberCommand{process: process{ctx: ctx, cli: cli}}}
 		},
 	},
+	{
+		name:  "reporter",
+		short: "Report what the engine on this VM is doing",
+		long:  "Asks the engine for its load, which costs nothing on its own VM, and tells the members that are connected.",
+		make: func(ctx context.Context, cli *CLI) flags.Commander {
+			return &reporterCommand{memberCommand: memberCommand{process: process{ctx: ctx, cli: cli}}}
+		},
+	},
 	{
 		name:  "demo",
 		short: "Run the whole path in one process, with stand-ins for engines and platform",
--- a/io/process/cli/member.go
+++ b/io/process/cli/member.go
@@ -13,6 +13,7 @@
 	"cowslipway/core/state/fleet"
 	"cowslipway/io/process/ingress"
 	"cowslipway/io/process/node"
+	"cowslipway/io/process/reporter"
 	"cowslipway/io/process/settings"
 	"cowslipway/io/process/telemetry"
 	"cowslipway/io/process/worker"
@@ -86,3 +87,16 @@
 	worker := &worker.Worker{Node: node, Log: node.Log}
 	return worker.Run(command.ctx)
 }
+
+type reporterCommand struct{ memberCommand }
+
+// Execute runs the command.
+func (command *reporterCommand) Execute([]string) (err error) {
+	node, stop, err := command.prepare(fleet.ReporterRole, false)
+	if err != nil {
+		return err
+	}
+	defer stop()
+	reporter := &reporter.Reporter{Node: node, Log: node.Log}
+	return reporter.Run(command.ctx)
+}
--- a/io/process/node/node.go
+++ b/io/process/node/node.go
@@ -31,8 +31,10 @@
 	followWait   = 2 * time.Second         // a watch that hears nothing for longer may be dead
 	dialTimeout  = 250 * time.Millisecond  // to an engine, which takes 1 ms and up to the way through the region
 	leasePeriod  = 3 * time.Second         // batch jobs of a lost worker wait that long for the next one
-	leaseRenewal = leasePeriod / 3
-	leaseRetry   = 300 * time.Millisecond
+	renewals     = 3                       // of a lease in its period
+	// reporterLease is longer: nothing waits for a reporter to be gone, and there are as many as engines.
+	reporterLease = 12 * time.Second
+	leaseRetry    = 300 * time.Millisecond
 )
 
 // Node is a running process.
@@ -75,10 +77,11 @@
 		FailureDomain: node.Settings.FailureDomain,
 		Address:       node.Settings.PeerListen,
 		Fingerprint:   identity.Fingerprint,
+		Engine:        node.Settings.Engine,
 	}
 	node.Store = &store.Store{Driver: node.Driver, Timeout: storeTimeout, Changed: node.storeChanged}
 	node.Upstream = &upstream.Pool{DialTimeout: dialTimeout, Engines: node.Engines}
-	node.mesh = &member.Mesh{Self: node.self, Identity: identity, Log: node.Log, Heard: node.heard}
+	node.mesh = &member.Mesh{Self: node.self, Identity: identity, Log: node.Log, Heard: node.heard, Reported: node.reported}
 	node.pool.Self = node.self.Owner()
 	node.pool.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	node.tickets = map[int]chan placement.Decision{}
@@ -95,12 +98,15 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return node.mesh.Run(ctx) })
 	group.Go(func() error {
-		follower := &store.Follower{Store: node.Store, Prefixes: node.Records.Prefixes(memberPrefix), Pace: followPace, Wait: followWait, Handle: node.directory.apply}
-		follower.Run(ctx)
+		node.register(ctx)
 		return nil
 	})
+	if node.Role == fleet.ReporterRole {
+		return group.Wait() // it needs no view of the others
+	}
 	group.Go(func() error {
-		node.register(ctx)
+		follower := &store.Follower{Store: node.Store, Prefixes: node.Records.Prefixes(memberPrefix), Pace: followPace, Wait: followWait, Handle: node.directory.apply}
+		follower.Run(ctx)
 		return nil
 	})
 	group.Go(func() error {
@@ -123,7 +129,7 @@
 func (node *Node) register(ctx context.Context) {
 	written := false
 	for ctx.Err() == nil {
-		pause := leaseRenewal
+		pause := node.leasePeriod() / renewals
 		var err error
 		if written {
 			err = node.Store.KeepLease(ctx, node.currentLease())
@@ -150,6 +156,13 @@
 	}
 }
 
+func (node *Node) leasePeriod() time.Duration {
+	if node.Role == fleet.ReporterRole {
+		return reporterLease
+	}
+	return leasePeriod
+}
+
 func (node *Node) currentLease() int64 {
 	node.leaseLock.Lock()
 	defer node.leaseLock.Unlock()
@@ -157,7 +170,7 @@
 }
 
 func (node *Node) writeRegistration(ctx context.Context) (err error) {
-	lease, err := node.Store.GrantLease(ctx, leasePeriod)
+	lease, err := node.Store.GrantLease(ctx, node.leasePeriod())
 	if err != nil {
 		return err
 	}
--- a/io/process/node/placing.go
+++ b/io/process/node/placing.go
@@ -37,6 +37,19 @@
 	node.yield(yields)
 }
 
+// reported takes in what an engine says of itself.
+func (node *Node) reported(engine string, running, waiting int) {
+	now := time.Now()
+	node.placing.Lock()
+	node.pool.Report(engine, running+waiting)
+	yields := node.pool.Yields(now)
+	node.placing.Unlock()
+	node.yield(yields)
+}
+
+// Report tells the others what runs and waits at the engine on this VM.
+func (node *Node) Report(running, waiting int) { node.mesh.Report(running, waiting) }
+
 func (node *Node) yield(yields map[uint64]int) {
 	if len(yields) > 0 && node.Yield != nil {
 		node.Yield(yields)
--- a/io/process/settings/member.go
+++ b/io/process/settings/member.go
@@ -13,6 +13,7 @@
 	FailureDomain string          `json:"failure_domain"` // within the place
 	Listen        string          `json:"listen"`         // callers' HTTP; empty for processes that serve none
 	ReadyListen   string          `json:"ready_listen"`   // the balancer's question; empty likewise
+	Engine        string          `json:"engine"`         // IP and port of the engine on this VM; empty where there is none
 	PeerListen    string          `json:"peer_listen"`    // QUIC, from the other members
 	StoreAddress  string          `json:"store_address"`  // IP and port of the key-value service
 	MemoryMB      float64         `json:"memory_mb"`      // the process is killed beyond it
@@ -38,6 +39,7 @@
 	checker.name("failure_domain", member.FailureDomain)
 	checker.address("listen", member.Listen, !callers)
 	checker.address("ready_listen", member.ReadyListen, !callers)
+	checker.address("engine", member.Engine, true)
 	checker.address("peer_listen", member.PeerListen, false)
 	checker.address("store_address", member.StoreAddress, false)
 	checker.inRange("memory_mb", member.MemoryMB, 32, 1<<20)
--- a/io/protocol/member/mesh.go
+++ b/io/protocol/member/mesh.go
@@ -29,6 +29,7 @@
 	Identity Identity
 	Log      *zap.Logger
 	Heard    func(peer string, counts []placement.Counts) // nil counts: the peer is lost
+	Reported func(engine string, running, waiting int)    // of the engine at an address, by the reporter beside it
 
 	mutex    sync.Mutex
 	members  map[string]fleet.Member // by owner name
@@ -93,6 +94,10 @@
 			return member, true
 		}
 	}
+	if mesh.Self.Role == fleet.ReporterRole {
+		// A reporter does not read the store: it tells all who ask, and takes in nothing.
+		return fleet.Member{Name: fingerprint}, true
+	}
 	return peer, false
 }
 
@@ -119,7 +124,13 @@
 	mesh.dialMissing()
 }
 
-// dialMissing connects to the members that this one has to dial: of two, the one with the smaller name dials.
+// dials reports whether this process is the one to connect to member: of two, the one with the smaller name, but
+// for reporters, who are always connected to.
+func (mesh *Mesh) dials(member fleet.Member) bool {
+	return member.Role == fleet.ReporterRole || mesh.Self.Name < member.Name
+}
+
+// dialMissing connects to the members that this one has to dial.
 func (mesh *Mesh) dialMissing() {
 	mesh.mutex.Lock()
 	defer mesh.mutex.Unlock()
@@ -127,7 +138,7 @@
 		return
 	}
 	for owner, member := range mesh.members {
-		if mesh.links[owner] != nil || mesh.dialing[owner] || mesh.Self.Name > member.Name {
+		if mesh.links[owner] != nil || mesh.dialing[owner] || !mesh.dials(member) {
 			continue
 		}
 		if mesh.dialing == nil {
@@ -183,6 +194,13 @@
 			mesh.lost(owner, link, err)
 			return
 		}
+		if sequence, running, waiting, ok := DecodeReport(message); ok {
+			if sequence > newest && peer.Engine != "" {
+				newest = sequence
+				mesh.Reported(peer.Engine, running, waiting)
+			}
+			continue
+		}
 		sequence, counts, err := Decode(message)
 		if err != nil {
 			mesh.Log.Warn("counts of a member could not be read", zap.String("member", owner), telemetry.Err(err))
@@ -211,17 +229,34 @@
 
 // Tell sends counts to all members that are connected.
 func (mesh *Mesh) Tell(counts []placement.Counts) {
-	mesh.mutex.Lock()
-	mesh.sequence++
-	message, left := Encode(mesh.sequence, counts)
-	links := make([]*quic.Conn, 0, len(mesh.links))
-	for _, link := range mesh.links {
-		links = append(links, link)
-	}
-	mesh.mutex.Unlock()
+	sequence, links := mesh.next()
+	message, left := Encode(sequence, counts)
 	if left > 0 {
 		mesh.Log.Warn("counts left out of a message", zap.Int("left", left))
 	}
+	send(links, message)
+}
+
+// Report sends what runs and waits at the engine on this VM to all members that are connected.
+func (mesh *Mesh) Report(running, waiting int) {
+	sequence, links := mesh.next()
+	send(links, EncodeReport(sequence, running, waiting))
+}
+
+// next returns the number of the next message, and the connections that it goes to: reporters need none.
+func (mesh *Mesh) next() (sequence uint64, links []*quic.Conn) {
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	mesh.sequence++
+	for owner, link := range mesh.links {
+		if mesh.members[owner].Role != fleet.ReporterRole {
+			links = append(links, link)
+		}
+	}
+	return mesh.sequence, links
+}
+
+func send(links []*quic.Conn, message []byte) {
 	for _, link := range links {
 		// A connection that fails is noticed by its reader.
 		_ = link.SendDatagram(message)
