ingress: a busy engine is not taken for a dark one

Cause: a stream without its first event after half its target was moved to another engine, also where the first one was only full: the place in its queue was lost, and the request came to the end of another one.

--- a/io/process/ingress/online.go
+++ b/io/process/ingress/online.go
@@ -27,7 +27,9 @@
 	silenceShare = 0.5
 	// pauseFactor times the longest pause that is still on time makes a stream go on elsewhere.
 	pauseFactor = 2
-	copyBytes   = 16 << 10
+	// busyFactor times the above is how long it waits where the engine answers others meanwhile.
+	busyFactor = 5
+	copyBytes  = 16 << 10
 	// wholeBytes of an answer that is no stream are read before its head is handed on, so that another engine can
 	// still be tried when this one breaks off.
 	wholeBytes = 64 << 10
@@ -188,7 +190,7 @@
 	defer node.Release(engine, false)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	watchdog := online.watch(cancel)
+	watchdog := online.watch(engine, cancel)
 	defer watchdog.stop()
 	remaining := time.Duration(0)
 	if !online.expires.IsZero() {
@@ -263,7 +265,7 @@
 	pause time.Duration
 }
 
-func (online *online) watch(cancel context.CancelFunc) *watchdog {
+func (online *online) watch(engine fleet.Engine, cancel context.CancelFunc) *watchdog {
 	if online.route.Kind != routes.Stream || !online.route.Repeatable() || online.attempts >= online.route.MaxAttempts {
 		return &watchdog{}
 	}
@@ -271,7 +273,18 @@
 	if first <= 0 {
 		return &watchdog{}
 	}
-	return &watchdog{timer: time.AfterFunc(first, cancel), pause: pauseFactor * max(first, online.route.MaxPause)}
+	watchdog := &watchdog{pause: pauseFactor * max(first, online.route.MaxPause)}
+	patience := busyFactor
+	watchdog.timer = time.AfterFunc(time.Hour, func() { // armed below, once the field is set
+		// An engine that answers others is busy, not dark: in its queue the request is as near to a slot as elsewhere.
+		if patience--; patience > 0 && time.Since(online.server.Node.Upstream.Heard(engine.Address)) < first {
+			watchdog.timer.Reset(first)
+			return
+		}
+		cancel()
+	})
+	watchdog.timer.Reset(first)
+	return watchdog
 }
 
 // heard puts the end off after an event.
--- a/io/transport/upstream/pool.go
+++ b/io/transport/upstream/pool.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -43,6 +44,30 @@
 
 	mutex sync.Mutex
 	idle  map[string][]*connection
+	heard sync.Map // address to *atomic.Int64: Unix nanoseconds of the last byte from there
+}
+
+// Heard returns when a byte came last from the engine at address.
+func (pool *Pool) Heard(address string) time.Time {
+	if last, ok := pool.heard.Load(address); ok {
+		return time.Unix(0, last.(*atomic.Int64).Load())
+	}
+	return time.Time{}
+}
+
+// listening records when bytes come on a connection.
+type listening struct {
+	net.Conn
+	last *atomic.Int64
+}
+
+// Read reads from the connection.
+func (listening listening) Read(data []byte) (n int, err error) {
+	n, err = listening.Conn.Read(data)
+	if n > 0 {
+		listening.last.Store(time.Now().UnixNano())
+	}
+	return n, err
 }
 
 type connection struct {
@@ -157,7 +182,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &connection{Conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), address: address}, nil
+	last, _ := pool.heard.LoadOrStore(address, &atomic.Int64{})
+	reader := bufio.NewReaderSize(listening{Conn: conn, last: last.(*atomic.Int64)}, readBufferBytes)
+	return &connection{Conn: conn, reader: reader, address: address}, nil
 }
 
 func (pool *Pool) take(address string) (found *connection) {
