--- a/internal/fakeengine/server.go
+++ b/internal/fakeengine/server.go
@@ -188,20 +188,28 @@
 func (server *Server) stream(writer http.ResponseWriter, question question, prompt string, chat bool, sequence *sequence) {
 	writer.Header().Set("Content-Type", "text/event-stream")
 	flusher := http.NewResponseController(writer)
+	count := 0
 	for i := range sequence.tokens {
+		count = i + 1
 		text, _ := json.Marshal(Word(prompt, i))
-		choice := fmt.Sprintf(`{"index":0,"text":%s,"finish_reason":null}`, text)
-		object := "text_completion"
-		if chat {
-			choice = fmt.Sprintf(`{"index":0,"delta":{"role":"assistant","content":%s},"finish_reason":null}`, text)
-			object = "chat.completion.chunk"
-		}
-		_, _ = fmt.Fprintf(writer, "id: %d\ndata: {\"id\":\"cmpl\",\"object\":%q,\"created\":0,\"model\":%q,\"choices\":[%s]}\n\n", i+1, object, question.Model, choice)
+		writeChunk(writer, question.Model, chat, count, string(text), "null")
 		_ = flusher.Flush()
 	}
+	// The last chunk says why the answer ends; it has no text.
+	writeChunk(writer, question.Model, chat, count+1, `""`, `"length"`)
 	_, _ = io.WriteString(writer, "data: [DONE]\n\n")
 }
 
+// writeChunk writes one event of a stream; text and finish are JSON.
+func writeChunk(writer io.Writer, model string, chat bool, number int, text, finish string) {
+	choice, object := fmt.Sprintf(`{"index":0,"text":%s,"finish_reason":%s}`, text, finish), "text_completion"
+	if chat {
+		choice = fmt.Sprintf(`{"index":0,"delta":{"role":"assistant","content":%s},"finish_reason":%s}`, text, finish)
+		object = "chat.completion.chunk"
+	}
+	_, _ = fmt.Fprintf(writer, "id: %d\ndata: {\"id\":\"cmpl\",\"object\":%q,\"created\":0,\"model\":%q,\"choices\":[%s]}\n\n", number, object, model, choice)
+}
+
 func (server *Server) answer(writer http.ResponseWriter, question question, prompt string, chat bool, sequence *sequence) {
 	var words strings.Builder
 	generated := 0
--- a/internal/stand/stand_test.go
+++ b/internal/stand/stand_test.go
@@ -70,9 +70,13 @@
 		t.Fatal(err)
 	}
 	stream := client.Chat.Completions.NewStreaming(ctx, wanted)
-	text := ""
+	text, finish := "", ""
 	for stream.Next() {
 		text += stream.Current().Choices[0].Delta.Content
+		finish = stream.Current().Choices[0].FinishReason
+	}
+	if finish != whole.Choices[0].FinishReason || finish == "" {
+		t.Errorf("the stream's last chunk ends for the reason %q, the whole answer for %q", finish, whole.Choices[0].FinishReason)
 	}
 	if err = stream.Err(); err != nil || text != whole.Choices[0].Message.Content || text == "" {
 		t.Errorf("stream %q, whole %q: %v", text, whole.Choices[0].Message.Content, err)
--- /dev/null
+++ b/io/transport/upstream/events_test.go
@@ -0,0 +1,70 @@
+package upstream
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"testing"
+)
+
+func TestEventsAreWhole(t *testing.T) {
+	for _, test := range []struct {
+		body string
+		want []string // ID and data
+		err  error
+	}{
+		{body: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", want: []string{"1=a", "2=b"}, err: io.EOF},
+		{body: "id:1\r\ndata:a\r\ndata: b\r\n\r\n", want: []string{"1=a\nb"}, err: io.EOF},
+		{body: ": comment\n\nid: 7\nevent: x\ndata:  two spaces\n\n", want: []string{"=", "7= two spaces"}, err: io.EOF},
+		{body: "id: 1\ndata: a\n\nid: 2\ndata: b\n", want: []string{"1=a"}, err: io.ErrUnexpectedEOF},
+		{body: "id: 1\ndata: " + strings.Repeat("x", 10000) + "\n\n", want: []string{"1=" + strings.Repeat("x", 10000)}, err: io.EOF},
+		{body: "", err: io.EOF},
+	} {
+		events := NewEvents(strings.NewReader(test.body))
+		var got []string
+		var err error
+		for err == nil {
+			var event Event
+			if event, err = events.Next(); err == nil {
+				got = append(got, event.ID+"="+event.Data())
+			}
+		}
+		if strings.Join(got, "|") != strings.Join(test.want, "|") || !errors.Is(err, test.err) {
+			t.Errorf("%q: events %q, %v; want %q, %v", test.body, got, err, test.want, test.err)
+		}
+	}
+}
+
+func TestFollows(t *testing.T) {
+	for _, test := range []struct {
+		last, next string
+		want       bool
+	}{{"", "1", true}, {"1", "2", true}, {"9", "10", true}, {"2", "2", false}, {"10", "9", false}, {"a", "b", true}} {
+		if got := Follows(test.last, test.next); got != test.want {
+			t.Errorf("event %q after %q: %t", test.next, test.last, got)
+		}
+	}
+}
+
+// FuzzEvents checks that events are the bytes that came, in order, and that none is cut.
+func FuzzEvents(f *testing.F) {
+	f.Add("id: 1\ndata: a\n\nid: 2\n\n")
+	f.Add("\r\n\n:\n")
+	f.Fuzz(func(t *testing.T, body string) {
+		events, read := NewEvents(strings.NewReader(body)), ""
+		for {
+			event, err := events.Next()
+			if err != nil {
+				rest := strings.TrimPrefix(body, read)
+				if !strings.HasPrefix(body, read) || errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && rest != "" {
+					t.Errorf("%q: %q is left: %v", body, rest, err)
+				}
+				return
+			}
+			if raw := string(event.Raw); !strings.HasSuffix(raw, "\n") {
+				t.Errorf("%q: event %q is cut", body, raw)
+			}
+			read += string(event.Raw)
+		}
+	})
+}
