store: calls go by a peer where the store turns this process away

Ruled out: the store itself, which serves the other machines.

A process whose calls fail has them made by a random connected member, over the QUIC connection that the counts go by, and tries its own way again after 1 to 4 s. A commit whose answer is lost stays unknown to its owner, who resolves it.

--- a/io/process/node/node.go
+++ b/io/process/node/node.go
@@ -50,6 +50,7 @@
 	Store     *store.Store
 	Upstream  *upstream.Pool
 	self      fleet.Member
+	relay     *store.Relay
 	mesh      *member.Mesh
 	directory directory
 
@@ -79,9 +80,11 @@
 		Fingerprint:   identity.Fingerprint,
 		Engine:        node.Settings.Engine,
 	}
-	node.Store = &store.Store{Driver: node.Driver, Timeout: storeTimeout, Changed: node.storeChanged}
+	node.relay = &store.Relay{Direct: node.Driver, Changed: node.detourChanged}
+	node.Store = &store.Store{Driver: node.relay, Timeout: storeTimeout, Changed: node.storeChanged}
 	node.Upstream = &upstream.Pool{DialTimeout: dialTimeout, Engines: node.Engines}
 	node.mesh = &member.Mesh{Self: node.self, Identity: identity, Log: node.Log, Heard: node.heard, Reported: node.reported}
+	node.relay.Ask, node.mesh.Answer = node.mesh.Ask, node.relay.Serve
 	node.pool.Self = node.self.Owner()
 	node.pool.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	node.tickets = map[int]chan placement.Decision{}
@@ -125,6 +128,10 @@
 	node.Log.Warn("store lost", zap.Duration("view_age", node.directory.age()))
 }
 
+func (node *Node) detourChanged(detour bool) {
+	node.Log.Info("way to the store", zap.Bool("by_peers", detour))
+}
+
 // register keeps a lease and the record of this process under it.
 func (node *Node) register(ctx context.Context) {
 	written := false
--- a/io/protocol/member/mesh.go
+++ b/io/protocol/member/mesh.go
@@ -28,8 +28,9 @@
 	Self     fleet.Member
 	Identity Identity
 	Log      *zap.Logger
-	Heard    func(peer string, counts []placement.Counts) // nil counts: the peer is lost
-	Reported func(engine string, running, waiting int)    // of the engine at an address, by the reporter beside it
+	Heard    func(peer string, counts []placement.Counts)               // nil counts: the peer is lost
+	Answer   func(ctx context.Context, question []byte) (answer []byte) // makes a store call in a peer's place; may be nil
+	Reported func(engine string, running, waiting int)                  // of the engine at an address, by the reporter beside it
 
 	mutex    sync.Mutex
 	members  map[string]fleet.Member // by owner name
@@ -46,7 +47,7 @@
 		MaxIdleTimeout:        idleTimeout,
 		KeepAlivePeriod:       keepAlive,
 		HandshakeIdleTimeout:  handshakeTimeout,
-		MaxIncomingStreams:    -1,
+		MaxIncomingStreams:    maxCalls,
 		MaxIncomingUniStreams: -1,
 	}
 }
@@ -187,6 +188,7 @@
 	mesh.links[owner] = link
 	mesh.mutex.Unlock()
 	mesh.Log.Info("member connected", zap.String("member", owner))
+	go mesh.answerCalls(link)
 	newest := uint64(0)
 	for {
 		message, err := link.ReceiveDatagram(mesh.ctx)
