worker: items go on from the VM's disk after a restart

Ruled out: the time to start (1.5 s) and to take jobs over (0.5 s).

Each item's events go to a log on the VM's disk about once a second, with checksums; what is torn or lost only makes the item start earlier. A job stays with its VM where that is back in time. Also: of two engines listed at one address only the newer is used, and a 421 keeps an engine out until its entry lapses.

--- a/core/coordination/jobs/owner.go
+++ b/core/coordination/jobs/owner.go
@@ -1,6 +1,8 @@
 package jobs
 
 import (
+	"strings"
+
 	"github.com/cespare/xxhash/v2"
 
 	"cowslipway/core/state/fleet"
@@ -20,3 +22,15 @@
 	}
 	return owner
 }
+
+// NextOwner returns the worker that should take over a job from a former owner that is gone: the one on the same VM where
+// there is one again, since it has the progress of the job's items on its disk.
+func NextOwner(job, former string, workers []fleet.Member) (owner string) {
+	name, _, _ := strings.Cut(former, "/")
+	for _, worker := range workers {
+		if worker.Name == name && !worker.Leaving {
+			return worker.Owner()
+		}
+	}
+	return PreferredOwner(job, workers)
+}
--- a/core/coordination/jobs/runner.go
+++ b/core/coordination/jobs/runner.go
@@ -16,17 +16,11 @@
 	maxCommitBytes = 900 << 10              // of results in one transaction
 )
 
-// Progress is what a run that was cut has had: a later one goes on from there.
-type Progress struct {
-	LastEvent string   `json:"last_event,omitempty"`
-	Data      []string `json:"data,omitempty"` // of each event
-}
-
 // Work is one run of an item.
 type Work struct {
 	Job      *ledger.Job
 	Item     ledger.Item
-	Progress Progress
+	Progress ledger.Progress
 	Excluded []uint64 // engines that failed it
 }
 
@@ -51,7 +45,7 @@
 type item struct {
 	ledger.Item
 
-	progress  Progress
+	progress  ledger.Progress
 	running   bool
 	done      bool // its result is written or about to be
 	failures  int  // answers that report a failure
@@ -85,7 +79,7 @@
 }
 
 // Adopt takes over a job as it is in the store, with the progress that a former owner has left.
-func (runner *Runner) Adopt(view ledger.View, maxAttempts int, progress map[string]Progress) {
+func (runner *Runner) Adopt(view ledger.View, maxAttempts int, progress map[string]ledger.Progress) {
 	if runner.jobs == nil {
 		runner.jobs = map[string]*job{}
 	}
@@ -182,7 +176,7 @@
 }
 
 // Ended takes in how a run ended, with all the progress that the item has made.
-func (runner *Runner) Ended(now time.Time, work Work, verdict Verdict, progress Progress) {
+func (runner *Runner) Ended(now time.Time, work Work, verdict Verdict, progress ledger.Progress) {
 	item := runner.find(work)
 	if item == nil {
 		return // the job is another's by now, or has ended
@@ -330,12 +324,12 @@
 }
 
 // Unfinished returns the progress of a job's items, for the next owner.
-func (runner *Runner) Unfinished(id string) (progress map[string]Progress) {
+func (runner *Runner) Unfinished(id string) (progress map[string]ledger.Progress) {
 	job, ok := runner.jobs[id]
 	if !ok {
 		return nil
 	}
-	progress = map[string]Progress{}
+	progress = map[string]ledger.Progress{}
 	for _, item := range job.items {
 		if !item.done && item.progress.LastEvent != "" {
 			progress[item.ID] = item.progress
--- a/core/coordination/jobs/runner_test.go
+++ b/core/coordination/jobs/runner_test.go
@@ -62,7 +62,7 @@
 					work := running[words[1]]
 					progress := work.Progress
 					if len(words) > 3 {
-						progress = Progress{LastEvent: words[3], Data: strings.Split(words[3], "")}
+						progress = ledger.Progress{LastEvent: words[3], Data: strings.Split(words[3], "")}
 					}
 					runner.Ended(now, work, Verdict(slices.Index(verdictNames[:], words[2])), progress)
 				case "commit":
@@ -227,7 +227,7 @@
 	work := model.running[at][id]
 	delete(model.running[at], id)
 	events := len(work.Progress.Data)
-	progress := Progress{LastEvent: work.Progress.LastEvent, Data: slices.Clone(work.Progress.Data)}
+	progress := ledger.Progress{LastEvent: work.Progress.LastEvent, Data: slices.Clone(work.Progress.Data)}
 	for further := model.random.IntN(modelEvents + 1); further > 0 && events < modelEvents; further-- {
 		events++
 		progress.LastEvent, progress.Data = fmt.Sprint(events), append(progress.Data, fmt.Sprintf("%s.%d", id, events))
--- a/core/coordination/placement/placement.go
+++ b/core/coordination/placement/placement.go
@@ -15,6 +15,7 @@
 const (
 	suspectBase   = 300 * time.Millisecond // an engine that broke a connection is left alone for this long at first
 	suspectLimit  = 3 * time.Second        // and for at most this long; a crashed engine is back after some seconds
+	gonePause     = 15 * time.Second       // an entry without renewal lapses after some seconds
 	reportsKept   = 3                      // 120 ms of an engine's reports
 	batchHeadroom = 1                      // slots of an engine that batch leaves free for the next online request
 	defaultSlots  = 8                      // of an engine whose entry names none
@@ -312,7 +313,16 @@
 	if engine, ok := pool.engines[chosen.Digest()]; ok {
 		pause := min(suspectLimit, suspectBase<<min(engine.failures, 8))
 		engine.failures++
-		engine.suspectUntil = now.Add(pause)
+		if until := now.Add(pause); until.After(engine.suspectUntil) {
+			engine.suspectUntil = until
+		}
+	}
+}
+
+// Gone records that another engine answers at the engine's address: it will not be back.
+func (pool *Pool) Gone(now time.Time, chosen fleet.Engine) {
+	if engine, ok := pool.engines[chosen.Digest()]; ok {
+		engine.suspectUntil = now.Add(gonePause)
 	}
 }
 
--- a/core/state/fleet/fleet.go
+++ b/core/state/fleet/fleet.go
@@ -1,6 +1,9 @@
 package fleet
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -17,6 +20,19 @@
 	Slots         int
 	Draining      bool
 	Warmup        time.Duration // it stays slow for this long after its start
+	Listed        int64         // revision of the store at which this incarnation was first seen
+}
+
+// Newest returns the engines, sorted by ID, without those whose address has a newer one: an engine that crashed is
+// listed for some seconds beside the one that took its place.
+func Newest(engines []Engine) (newest []Engine) {
+	at := map[string]Engine{}
+	for _, engine := range engines {
+		if known, ok := at[engine.Address]; !ok || engine.Listed > known.Listed {
+			at[engine.Address] = engine
+		}
+	}
+	return slices.SortedFunc(maps.Values(at), func(a, b Engine) int { return cmp.Compare(a.ID, b.ID) })
 }
 
 // Incarnation names one start of one engine.
--- a/io/port/port.go
+++ b/io/port/port.go
@@ -79,6 +79,7 @@
 	RequestID string
 	Stamped   bool // it bears the engine's proof of origin
 	NotRun    bool // the engine has not run the request and will not
+	Other     bool // another engine than the one that was meant has the address
 	Load      Load
 	HasLoad   bool
 }
--- a/io/process/ingress/online.go
+++ b/io/process/ingress/online.go
@@ -217,7 +217,11 @@
 	switch {
 	case exchange.Answer.NotRun:
 		exchange.Drain()
-		node.Failed(engine)
+		if exchange.Answer.Other {
+			node.Gone(engine)
+		} else {
+			node.Failed(engine)
+		}
 		return notRun, errors.Errorf("status %d, not run", status)
 	case !exchange.Answer.Stamped:
 		online.blame(engine)
--- a/io/process/node/directory.go
+++ b/io/process/node/directory.go
@@ -171,6 +171,10 @@
 		directory.node.Log.Info("engine listed", zap.String("engine", engine.Incarnation()), zap.String("address", engine.Address),
 			zap.String("service", engine.Service), zap.Bool("draining", engine.Draining), zap.Int64("revision", item.Revision))
 	}
+	engine.Listed = item.Revision
+	if ok && known.Incarnation() == engine.Incarnation() {
+		engine.Listed = known.Listed
+	}
 	directory.engines[id], directory.engineKeys[id] = engine, item.Key
 	delete(directory.lapsed, id)
 }
@@ -231,7 +235,7 @@
 
 func (directory *directory) publishEngines() {
 	directory.mutex.Lock()
-	engines := slices.SortedFunc(maps.Values(directory.engines), func(a, b fleet.Engine) int { return cmp.Compare(a.ID, b.ID) })
+	engines := fleet.Newest(slices.Collect(maps.Values(directory.engines)))
 	directory.mutex.Unlock()
 	directory.node.setEngines(engines)
 }
--- a/io/process/node/placing.go
+++ b/io/process/node/placing.go
@@ -165,6 +165,13 @@
 	node.pool.Failed(time.Now(), engine)
 }
 
+// Gone records that another engine answers at the engine's address.
+func (node *Node) Gone(engine fleet.Engine) {
+	node.placing.Lock()
+	defer node.placing.Unlock()
+	node.pool.Gone(time.Now(), engine)
+}
+
 // Served records that an engine answered as it should.
 func (node *Node) Served(engine fleet.Engine) {
 	node.placing.Lock()
--- a/io/process/settings/member.go
+++ b/io/process/settings/member.go
@@ -15,6 +15,7 @@
 	ReadyListen   string          `json:"ready_listen"`   // the balancer's question; empty likewise
 	Engine        string          `json:"engine"`         // IP and port of the engine on this VM; empty where there is none
 	PeerListen    string          `json:"peer_listen"`    // QUIC, from the other members
+	DataDirectory string          `json:"data_directory"` // on a disk that may be lost; empty: nothing is kept
 	StoreAddress  string          `json:"store_address"`  // IP and port of the key-value service
 	MemoryMB      float64         `json:"memory_mb"`      // the process is killed beyond it
 	Cores         float64         `json:"cores"`
--- a/io/process/worker/item.go
+++ b/io/process/worker/item.go
@@ -11,6 +11,7 @@
 
 	"cowslipway/core/coordination/jobs"
 	"cowslipway/core/state/fleet"
+	"cowslipway/core/state/ledger"
 	"cowslipway/io/port"
 	"cowslipway/io/transport/upstream"
 )
@@ -20,8 +21,8 @@
 const silenceLimit = 2500 * time.Millisecond
 
 // runItem runs an item at an engine from where its former runs have come.
-func (worker *Worker) runItem(ctx context.Context, work jobs.Work, engine fleet.Engine) (verdict jobs.Verdict, progress jobs.Progress, cause error) {
-	progress = jobs.Progress{LastEvent: work.Progress.LastEvent, Data: slices.Clone(work.Progress.Data)}
+func (worker *Worker) runItem(ctx context.Context, work jobs.Work, engine fleet.Engine) (verdict jobs.Verdict, progress ledger.Progress, cause error) {
+	progress = ledger.Progress{LastEvent: work.Progress.LastEvent, Data: slices.Clone(work.Progress.Data)}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	silence := time.AfterFunc(silenceLimit, cancel)
@@ -50,6 +51,9 @@
 	switch {
 	case exchange.Answer.NotRun:
 		exchange.Drain()
+		if exchange.Answer.Other {
+			worker.Node.Gone(engine)
+		}
 		return jobs.Refused, progress, errors.Errorf("status %d, not run", status)
 	case !exchange.Answer.Stamped:
 		return jobs.Broken, progress, errors.Errorf("status %d without a proof of origin", status)
@@ -63,11 +67,20 @@
 		exchange.Drain()
 		return jobs.Broken, progress, errors.Errorf("status %d", status)
 	}
-	return worker.readEvents(exchange, silence, progress)
+	return worker.readEvents(exchange, silence, work, progress)
 }
 
-func (worker *Worker) readEvents(exchange *upstream.Exchange, silence *time.Timer, progress jobs.Progress) (verdict jobs.Verdict, after jobs.Progress, cause error) {
+// step tells the disk what an item has had beyond kept events, and returns how many it then knows of.
+func (worker *Worker) step(work jobs.Work, progress ledger.Progress, kept int) int {
+	if len(progress.Data) > kept {
+		worker.kept.add(ledger.Checkpoint{Job: work.Job.ID, Item: work.Item.ID, From: kept, LastEvent: progress.LastEvent, Data: progress.Data[kept:len(progress.Data):len(progress.Data)]})
+	}
+	return len(progress.Data)
+}
+
+func (worker *Worker) readEvents(exchange *upstream.Exchange, silence *time.Timer, work jobs.Work, progress ledger.Progress) (verdict jobs.Verdict, after ledger.Progress, cause error) {
 	events := upstream.NewEvents(exchange.Response.Body)
+	kept, keptAt := 0, time.Now() // the first step of a run tells all, so that no earlier file is needed
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
@@ -75,6 +88,7 @@
 			return jobs.Finished, progress, nil
 		}
 		if err != nil {
+			worker.step(work, progress, kept)
 			return jobs.Broken, progress, err
 		}
 		silence.Reset(silenceLimit)
@@ -86,5 +100,8 @@
 		}
 		progress.LastEvent = event.ID
 		progress.Data = append(progress.Data, event.Data())
+		if time.Since(keptAt) >= checkpointPeriod {
+			kept, keptAt = worker.step(work, progress, kept), time.Now()
+		}
 	}
 }
--- a/io/process/worker/worker.go
+++ b/io/process/worker/worker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"time"
 
 	"github.com/juju/errors"
@@ -44,7 +45,9 @@
 	wroteAt  time.Time
 	scanned  time.Time
 	stopping bool
-	retired  map[string]bool // VMs that were reported as empty
+	kept     checkpoints
+	left     ledger.Progresses // by a former process on this VM
+	retired  map[string]bool   // VMs that were reported as empty
 }
 
 // event changes the control state; all of them are carried out by one goroutine.
@@ -65,6 +68,8 @@
 	worker.running, worker.claiming, worker.complete = map[*run]bool{}, map[string]bool{}, map[string]bool{}
 	worker.retired = map[string]bool{}
 	worker.events = make(chan event, 256)
+	worker.kept = checkpoints{directory: worker.Node.Settings.DataDirectory, log: worker.Log}
+	worker.left = worker.kept.open()
 	worker.Node.Yield = func(yields map[uint64]int) {
 		select {
 		case worker.events <- func() { worker.yield(yields) }:
@@ -138,7 +143,7 @@
 		case epoch != 0 || worker.claiming[id] || worker.complete[id] || worker.stopping:
 		case view.Owned.Owner == self:
 			adopt = append(adopt, view)
-		case !live[view.Owned.Owner] && live[self] && jobs.PreferredOwner(id, workers) == self:
+		case !live[view.Owned.Owner] && live[self] && jobs.NextOwner(id, view.Owned.Owner, workers) == self:
 			claim = append(claim, view)
 		}
 		return true
@@ -159,13 +164,27 @@
 	worker.retire(ctx, workers)
 }
 
-func (worker *Worker) adopt(table *routes.Table, view ledger.View, progress map[string]jobs.Progress) {
+func (worker *Worker) adopt(table *routes.Table, view ledger.View, progress map[string]ledger.Progress) {
+	progress = further(progress, worker.left[view.Job.ID])
+	delete(worker.left, view.Job.ID)
 	route, _ := table.Match(view.Job.Host, view.Job.Path)
 	worker.runner.Adopt(view, route.MaxAttempts, progress)
 	worker.Log.Info("job adopted", zap.String("job", view.Job.ID), zap.Int64("epoch", view.Owned.Epoch), zap.Int("written", len(view.Results)),
 		zap.Int("items", len(view.Job.Items)), zap.Int("begun", len(progress)))
 }
 
+// further joins what two sources know of the progress of a job's items.
+func further(one, other map[string]ledger.Progress) (joined map[string]ledger.Progress) {
+	joined = map[string]ledger.Progress{}
+	maps.Copy(joined, one)
+	for id, progress := range other {
+		if len(progress.Data) > len(joined[id].Data) {
+			joined[id] = progress
+		}
+	}
+	return joined
+}
+
 // drop stops the items of a job that is not to be run here any more.
 func (worker *Worker) drop(id, reason string) {
 	worker.runner.Drop(id)
@@ -215,7 +234,7 @@
 }
 
 // readProgress returns what a former owner left of begun items; without it they start anew.
-func (worker *Worker) readProgress(ctx context.Context, id string) (progress map[string]jobs.Progress) {
+func (worker *Worker) readProgress(ctx context.Context, id string) (progress map[string]ledger.Progress) {
 	item, ok, err := worker.Node.Store.Get(ctx, worker.Node.Records.OwnKey(progressKey(id)))
 	if err == nil && ok {
 		err = json.Unmarshal(item.Value, &progress)
@@ -263,7 +282,7 @@
 	}()
 }
 
-func (worker *Worker) ended(run *run, verdict jobs.Verdict, progress jobs.Progress, cause error) {
+func (worker *Worker) ended(run *run, verdict jobs.Verdict, progress ledger.Progress, cause error) {
 	delete(worker.running, run)
 	worker.Node.Release(run.engine, true)
 	if run.yield {
