--- a/io/protocol/member/counts.go
+++ b/io/protocol/member/counts.go
@@ -3,50 +3,131 @@
 import (
 	"encoding/binary"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 
 	"cowslipway/core/coordination/placement"
 )
 
-// A message of counts is its kind, a sequence number and entries of an engine's digest, online and batch requests. A
-// report is its kind, a sequence number, and the requests that run and wait at the engine of the sender's VM.
+// A message is its kind, a sequence number, the sender's counts, the members that it has no connection to, and the counts
+// of members that others have none to. A list begins with the number of its entries. A report is its kind, a sequence
+// number, and the requests that run and wait at the engine of the sender's VM.
 const (
 	countsKind  = 1
 	reportKind  = 2
-	reportBytes = headBytes + 4
 	headBytes   = 1 + 8
+	reportBytes = headBytes + 4
 	entryBytes  = 8 + 2 + 2
-	maxEntries  = 95 // what fits a datagram on any path: 1,150 bytes
+	maxBytes    = 1150 // what fits a datagram on any path
 )
 
-// Encode writes counts; left tells how many did not fit.
-func Encode(sequence uint64, counts []placement.Counts) (message []byte, left int) {
-	left = max(0, len(counts)-maxEntries)
-	message = append(message, countsKind)
-	message = binary.BigEndian.AppendUint64(message, sequence)
-	for _, count := range counts[:len(counts)-left] {
-		message = binary.BigEndian.AppendUint64(message, count.Engine)
-		message = binary.BigEndian.AppendUint16(message, uint16(min(count.Online, 1<<16-1)))
-		message = binary.BigEndian.AppendUint16(message, uint16(min(count.Batch, 1<<16-1)))
+// Message is what one process tells the others.
+type Message struct {
+	Sequence uint64
+	Counts   []placement.Counts
+	Missing  []uint32  // digests of members that the sender does not hear
+	Relayed  []Relayed // of members that others do not hear
+}
+
+// Relayed is the counts of a member as another one has heard them.
+type Relayed struct {
+	Member uint32 // digest
+	Counts []placement.Counts
+}
+
+// digestOf is a short form of a member's name.
+func digestOf(owner string) uint32 { return uint32(xxhash.Sum64String(owner)) }
+
+// Encode writes a message; left tells how many entries did not fit.
+func (message Message) Encode() (data []byte, left int) {
+	data = binary.BigEndian.AppendUint64([]byte{countsKind}, message.Sequence)
+	// The lists after it need two bytes each at least.
+	data, left = appendCounts(data, message.Counts, maxBytes-len(data)-4)
+	missing := message.Missing[:min(len(message.Missing), max(0, (maxBytes-len(data)-4)/4))]
+	left += len(message.Missing) - len(missing)
+	data = binary.BigEndian.AppendUint16(data, uint16(len(missing)))
+	for _, member := range missing {
+		data = binary.BigEndian.AppendUint32(data, member)
+	}
+	at := len(data)
+	data = binary.BigEndian.AppendUint16(data, 0)
+	fitting := uint16(0)
+	for _, relayed := range message.Relayed {
+		if len(data)+4+2+len(relayed.Counts)*entryBytes > maxBytes {
+			left += len(relayed.Counts)
+			continue
+		}
+		data = binary.BigEndian.AppendUint32(data, relayed.Member)
+		data, _ = appendCounts(data, relayed.Counts, maxBytes)
+		fitting++
+	}
+	binary.BigEndian.PutUint16(data[at:], fitting)
+	return data, left
+}
+
+func appendCounts(data []byte, counts []placement.Counts, room int) (longer []byte, left int) {
+	fitting := min(len(counts), max(0, (room-2)/entryBytes))
+	data = binary.BigEndian.AppendUint16(data, uint16(fitting))
+	for _, count := range counts[:fitting] {
+		data = binary.BigEndian.AppendUint64(data, count.Engine)
+		data = binary.BigEndian.AppendUint16(data, uint16(min(count.Online, 1<<16-1)))
+		data = binary.BigEndian.AppendUint16(data, uint16(min(count.Batch, 1<<16-1)))
 	}
-	return message, left
+	return data, len(counts) - fitting
 }
 
-// Decode reads a message; counts is never nil.
-func Decode(message []byte) (sequence uint64, counts []placement.Counts, err error) {
-	if len(message) < headBytes || message[0] != countsKind || (len(message)-headBytes)%entryBytes != 0 {
-		return 0, nil, errors.Errorf("%d bytes are no counts", len(message))
+// reader takes a message apart; after a step that fails all others do.
+type reader struct {
+	rest   []byte
+	failed bool
+}
+
+func (reader *reader) take(size int) (part []byte) {
+	if reader.failed || len(reader.rest) < size {
+		reader.failed = true
+		return make([]byte, size)
+	}
+	part, reader.rest = reader.rest[:size], reader.rest[size:]
+	return part
+}
+
+func (reader *reader) length(entry int) (count int) {
+	count = int(binary.BigEndian.Uint16(reader.take(2)))
+	if count*entry > len(reader.rest) {
+		reader.failed = true
+		return 0
 	}
-	sequence = binary.BigEndian.Uint64(message[1:])
+	return count
+}
+
+func (reader *reader) counts() (counts []placement.Counts) {
 	counts = []placement.Counts{}
-	for rest := message[headBytes:]; len(rest) > 0; rest = rest[entryBytes:] {
+	for range reader.length(entryBytes) {
 		counts = append(counts, placement.Counts{
-			Engine: binary.BigEndian.Uint64(rest),
-			Online: int(binary.BigEndian.Uint16(rest[8:])),
-			Batch:  int(binary.BigEndian.Uint16(rest[10:])),
+			Engine: binary.BigEndian.Uint64(reader.take(8)),
+			Online: int(binary.BigEndian.Uint16(reader.take(2))),
+			Batch:  int(binary.BigEndian.Uint16(reader.take(2))),
 		})
 	}
-	return sequence, counts, nil
+	return counts
+}
+
+// Decode reads a message; its counts are never nil.
+func Decode(data []byte) (message Message, err error) {
+	reader := &reader{rest: data}
+	kind := reader.take(1)[0]
+	message.Sequence = binary.BigEndian.Uint64(reader.take(8))
+	message.Counts = reader.counts()
+	for range reader.length(4) {
+		message.Missing = append(message.Missing, binary.BigEndian.Uint32(reader.take(4)))
+	}
+	for range reader.length(4 + 2) {
+		message.Relayed = append(message.Relayed, Relayed{Member: binary.BigEndian.Uint32(reader.take(4)), Counts: reader.counts()})
+	}
+	if reader.failed || len(reader.rest) > 0 || kind != countsKind {
+		return Message{}, errors.Errorf("%d bytes are no counts", len(data))
+	}
+	return message, nil
 }
 
 // EncodeReport writes what runs and waits at an engine.
--- a/io/protocol/member/member_test.go
+++ b/io/protocol/member/member_test.go
@@ -1,23 +1,69 @@
 package member
 
 import (
+	"reflect"
 	"slices"
 	"testing"
+	"time"
 
 	"cowslipway/core/coordination/placement"
+	"cowslipway/core/state/fleet"
 )
 
-func TestCountsKeepTheirValues(t *testing.T) {
+func TestMessagesKeepTheirValues(t *testing.T) {
 	counts := []placement.Counts{{Engine: 1<<64 - 1, Online: 3, Batch: 1<<16 + 5}, {Engine: 7, Online: 0, Batch: 2}}
-	message, left := Encode(41, counts)
-	sequence, read, err := Decode(message)
+	message := Message{Sequence: 41, Counts: counts, Missing: []uint32{5, 6}, Relayed: []Relayed{{Member: 5, Counts: counts[1:]}, {Member: 9, Counts: []placement.Counts{}}}}
+	data, left := message.Encode()
+	read, err := Decode(data)
 	counts[0].Batch = 1<<16 - 1 // what a message can hold
-	if err != nil || sequence != 41 || left != 0 || !slices.Equal(read, counts) {
-		t.Errorf("sequence %d, counts %v, left %d: %v", sequence, read, left, err)
+	if err != nil || left != 0 || !reflect.DeepEqual(read, message) {
+		t.Errorf("%+v is read as %+v, left %d: %v", message, read, left, err)
 	}
-	many := make([]placement.Counts, maxEntries+3)
-	if message, left = Encode(1, many); left != 3 || len(message) > 1200 {
-		t.Errorf("%d bytes, %d left out", len(message), left)
+}
+
+// TestMessagesFitADatagram plays a fleet whose counts are more than a datagram holds: the sender's own go first.
+func TestMessagesFitADatagram(t *testing.T) {
+	many := make([]placement.Counts, 90)
+	message := Message{Counts: many, Missing: make([]uint32, 30), Relayed: []Relayed{{Member: 1, Counts: many[:2]}, {Member: 2, Counts: many}}}
+	data, left := message.Encode()
+	read, err := Decode(data)
+	if err != nil || len(data) > maxBytes || len(read.Counts) != len(many) || left == 0 {
+		t.Errorf("%d bytes, %d counts, %d left out: %v", len(data), len(read.Counts), left, err)
+	}
+}
+
+// TestHearsay plays an entry that is cut off from a worker while a third process hears both.
+func TestHearsay(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	members := map[string]fleet.Member{"entry/1": {Name: "entry"}, "worker/1": {Name: "worker"}, "third/1": {Name: "third"}}
+	counts := []placement.Counts{{Engine: 7, Online: 2}}
+	var third, worker hearsay
+	third.heard("entry/1", counts)
+	third.heard("worker/1", nil)
+	worker.heard("third/1", nil)
+	if got := third.relayed(now); len(got) > 0 {
+		t.Errorf("counts that nobody misses are passed on: %v", got)
+	}
+	third.missed(now, []uint32{digestOf("entry/1")})
+	relayed := third.relayed(now)
+	if len(relayed) != 1 {
+		t.Fatalf("passed on: %v", relayed)
+	}
+	if owner, ok := worker.take(now, members, relayed[0]); !ok || owner != "entry/1" {
+		t.Errorf("the worker takes %q, %t", owner, ok)
+	}
+	if got := worker.expired(now.Add(hearsayFor)); len(got) > 0 {
+		t.Errorf("forgotten too early: %v", got)
+	}
+	if got := worker.expired(now.Add(hearsayFor + 1)); len(got) != 1 {
+		t.Errorf("not forgotten: %v", got)
+	}
+	if got := third.relayed(now.Add(wantedFor)); len(got) > 0 {
+		t.Errorf("still passed on: %v", got)
+	}
+	worker.heard("entry/1", counts)
+	if owner, ok := worker.take(now, members, relayed[0]); ok {
+		t.Errorf("counts at second hand replace those of %s itself", owner)
 	}
 }
 
@@ -30,14 +76,14 @@
 
 // FuzzMessages reads what any process may send.
 func FuzzMessages(f *testing.F) {
-	message, _ := Encode(1, []placement.Counts{{Engine: 5, Online: 1, Batch: 2}})
-	f.Add(message)
+	data, _ := Message{Sequence: 1, Counts: []placement.Counts{{Engine: 5, Online: 1, Batch: 2}}, Missing: []uint32{1}, Relayed: []Relayed{{Member: 3}}}.Encode()
+	f.Add(data)
 	f.Add(EncodeReport(2, 3, 4))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		sequence, counts, err := Decode(data)
-		if err == nil {
-			if again, left := Encode(sequence, counts); left == 0 && !slices.Equal(again, data) {
-				t.Errorf("%x is read as %v", data, counts)
+		message, err := Decode(data)
+		if err == nil && len(data) <= maxBytes {
+			if again, left := message.Encode(); left == 0 && !slices.Equal(again, data) {
+				t.Errorf("%x is read as %+v", data, message)
 			}
 		}
 		if sequence, running, waiting, ok := DecodeReport(data); ok && !slices.Equal(EncodeReport(sequence, running, waiting), data) {
--- a/io/protocol/member/mesh.go
+++ b/io/protocol/member/mesh.go
@@ -37,6 +37,7 @@
 	links    map[string]*quic.Conn
 	dialing  map[string]bool
 	sequence uint64
+	hearsay  hearsay
 	socket   *quic.Transport
 	ctx      context.Context
 }
@@ -203,24 +204,43 @@
 			}
 			continue
 		}
-		sequence, counts, err := Decode(message)
+		decoded, err := Decode(message)
 		if err != nil {
 			mesh.Log.Warn("counts of a member could not be read", zap.String("member", owner), telemetry.Err(err))
 			continue
 		}
-		if sequence > newest { // an older datagram may arrive late
-			newest = sequence
-			mesh.Heard(owner, counts)
+		if decoded.Sequence > newest { // an older datagram may arrive late
+			newest = decoded.Sequence
+			mesh.take(owner, decoded)
 		}
 	}
 }
 
+// take takes in a peer's message.
+func (mesh *Mesh) take(owner string, message Message) {
+	now := time.Now()
+	heard := map[string][]placement.Counts{owner: message.Counts}
+	mesh.mutex.Lock()
+	mesh.hearsay.heard(owner, message.Counts)
+	mesh.hearsay.missed(now, message.Missing)
+	for _, relayed := range message.Relayed {
+		if other, ok := mesh.hearsay.take(now, mesh.members, relayed); ok {
+			heard[other] = relayed.Counts
+		}
+	}
+	mesh.mutex.Unlock()
+	for peer, counts := range heard {
+		mesh.Heard(peer, counts)
+	}
+}
+
 func (mesh *Mesh) lost(owner string, link *quic.Conn, cause error) {
 	_ = link.CloseWithError(0, "")
 	mesh.mutex.Lock()
 	current := mesh.links[owner] == link
 	if current {
 		delete(mesh.links, owner)
+		mesh.hearsay.heard(owner, nil)
 	}
 	mesh.mutex.Unlock()
 	if current {
@@ -231,12 +251,26 @@
 
 // Tell sends counts to all members that are connected.
 func (mesh *Mesh) Tell(counts []placement.Counts) {
+	now := time.Now()
 	sequence, links := mesh.next()
-	message, left := Encode(sequence, counts)
+	message := Message{Sequence: sequence, Counts: counts}
+	mesh.mutex.Lock()
+	for owner, member := range mesh.members {
+		if mesh.links[owner] == nil && member.Role != fleet.ReporterRole {
+			message.Missing = append(message.Missing, digestOf(owner))
+		}
+	}
+	message.Relayed = mesh.hearsay.relayed(now)
+	expired := mesh.hearsay.expired(now)
+	mesh.mutex.Unlock()
+	for _, owner := range expired {
+		mesh.Heard(owner, nil)
+	}
+	data, left := message.Encode()
 	if left > 0 {
 		mesh.Log.Warn("counts left out of a message", zap.Int("left", left))
 	}
-	send(links, message)
+	send(links, data)
 }
 
 // Report sends what runs and waits at the engine on this VM to all members that are connected.
--- a/io/store/relay.go
+++ b/io/store/relay.go
@@ -13,6 +13,7 @@
 	directTimeout = 600 * time.Millisecond // of a call that can still go by a peer; a slow store takes 240 ms
 	detourBase    = time.Second            // calls go by peers for this long after the first failure
 	detourLimit   = 4 * time.Second        // and for at most this long before the direct way is tried again
+	askedPeers    = 4                      // before a call fails: some of them may be turned away too
 )
 
 // Call is a call to the service in a form that a peer can make in this process's place.
@@ -49,7 +50,8 @@
 
 	mutex    sync.Mutex
 	failures int
-	until    time.Time // calls go by peers until then
+	until    time.Time     // calls go by peers until then
+	broken   chan struct{} // closed when the direct way fails, for the watches that wait on it
 }
 
 var _ Driver = (*Relay)(nil)
@@ -59,10 +61,17 @@
 	var call Call
 	var made Answer
 	err := json.Unmarshal(question, &call)
-	if err == nil {
-		made, err = perform(ctx, relay.Direct, call)
-	} else {
+	relay.mutex.Lock()
+	detour := relay.failures > 0
+	relay.mutex.Unlock()
+	switch {
+	case err != nil:
 		err = errors.WithType(err, ErrNotSent)
+	case detour:
+		err = errors.Annotate(ErrNotSent, "this process goes by peers itself")
+	default:
+		made, err = perform(ctx, relay.Direct, call)
+		relay.record(unreached(err))
 	}
 	if err != nil {
 		made.Error, made.Cause = err.Error(), string(ErrUnknown)
@@ -107,31 +116,82 @@
 
 // do makes call directly, or by a peer.
 func (relay *Relay) do(ctx context.Context, call Call) (answer Answer, err error) {
-	relay.mutex.Lock()
-	detour := time.Now().Before(relay.until)
-	relay.mutex.Unlock()
-	if !detour {
-		direct, cancel := context.WithTimeout(ctx, call.Wait+directTimeout)
-		answer, err = perform(direct, relay.Direct, call)
-		cancel()
-		failed := errors.Is(err, ErrNotSent) || errors.Is(err, ErrUnknown)
-		relay.record(failed)
-		if !failed || errors.Is(err, ErrUnknown) && call.Name == "commit" {
+	if direct, broken := relay.way(call); direct {
+		answer, err = relay.perform(ctx, call, broken)
+		if !unreached(err) || errors.Is(err, ErrUnknown) && call.Name == "commit" {
 			return answer, err // a commit that may take effect is not made a second time without its owner knowing
 		}
 	}
-	byPeer, askErr := relay.ask(ctx, call)
-	if askErr != nil && err != nil {
-		return answer, err // the direct way's error says more
+	for range askedPeers {
+		var askErr error
+		answer, askErr = relay.ask(ctx, call)
+		if askErr == nil || !errors.Is(askErr, ErrNotSent) {
+			return answer, askErr
+		}
+		if err == nil {
+			err = askErr // the direct way's error says more
+		}
+	}
+	relay.noDetour()
+	return answer, err
+}
+
+// noDetour lets the next call try the direct way, where peers are no better off.
+func (relay *Relay) noDetour() {
+	relay.mutex.Lock()
+	defer relay.mutex.Unlock()
+	relay.until = time.Time{}
+}
+
+// unreached reports whether the service itself said nothing.
+func unreached(err error) bool { return errors.Is(err, ErrNotSent) || errors.Is(err, ErrUnknown) }
+
+// way tells whether call may go directly. What waits long is no trial of a way that has failed: only a short call that
+// succeeds brings the watches back.
+func (relay *Relay) way(call Call) (direct bool, broken <-chan struct{}) {
+	relay.mutex.Lock()
+	defer relay.mutex.Unlock()
+	if relay.broken == nil {
+		relay.broken = make(chan struct{})
+	}
+	if call.Wait > 0 {
+		return relay.failures == 0, relay.broken
+	}
+	return !time.Now().Before(relay.until), nil
+}
+
+// perform makes call directly. A watch ends when the direct way is found broken meanwhile.
+func (relay *Relay) perform(ctx context.Context, call Call, broken <-chan struct{}) (answer Answer, err error) {
+	ctx, cancel := context.WithTimeout(ctx, call.Wait+directTimeout)
+	defer cancel()
+	done := make(chan struct{})
+	defer close(done)
+	if broken != nil {
+		go func() {
+			select {
+			case <-broken:
+				cancel()
+			case <-done:
+			}
+		}()
 	}
-	return byPeer, askErr
+	answer, err = perform(ctx, relay.Direct, call)
+	select {
+	case <-broken: // known already
+	default:
+		relay.record(unreached(err))
+	}
+	return answer, err
 }
 
 func (relay *Relay) record(failed bool) {
 	relay.mutex.Lock()
 	before := relay.failures
 	if failed {
-		relay.failures++
+		if relay.failures++; relay.broken != nil {
+			close(relay.broken)
+			relay.broken = nil
+		}
 		relay.until = time.Now().Add(min(detourLimit, detourBase<<min(relay.failures-1, 8)))
 	} else {
 		relay.failures = 0
