--- a/io/process/ingress/jobs.go
+++ b/io/process/ingress/jobs.go
@@ -138,8 +138,7 @@
 				return view, http.StatusServiceUnavailable
 			}
 			asked, deadline = true, time.Now().Add(viewPatience)
-			_, exists, err := server.Node.Store.Get(ctx, server.Node.Records.OwnKey(ledger.OwnershipKey(id)))
-			if err == nil && !exists {
+			if exists, err := server.exists(ctx, id); err == nil && !exists {
 				return view, http.StatusNotFound
 			}
 		}
@@ -150,6 +149,20 @@
 	}
 }
 
+// exists asks the store for a job; of one that was swept only the mark of its end is left.
+func (server *Server) exists(ctx context.Context, id string) (exists bool, err error) {
+	item, ok, err := server.Node.Store.Get(ctx, server.Node.Records.OwnKey(ledger.OwnershipKey(id)))
+	if err != nil || !ok {
+		return false, err
+	}
+	var ownership ledger.Ownership
+	if err = json.Unmarshal(item.Value, &ownership); err != nil || !ownership.Ended {
+		return true, err
+	}
+	_, exists, err = server.Node.Store.Get(ctx, server.Node.Records.OwnKey(ledger.JobKey(id)))
+	return exists, err
+}
+
 func (server *Server) refuseUnfound(writer http.ResponseWriter, call port.Call, status int) {
 	if status == http.StatusNotFound {
 		server.refuse(writer, call, status, 0, "no such batch job")
--- a/io/process/settings/member.go
+++ b/io/process/settings/member.go
@@ -20,8 +20,10 @@
 	MemoryMB      float64         `json:"memory_mb"`      // the process is killed beyond it
 	Cores         float64         `json:"cores"`
 	GracePeriod   config.Duration `json:"grace_period"` // from SIGTERM to SIGKILL
-	DrainPeriod   config.Duration `json:"drain_period"` // an engine serves on for this long after it was listed as leaving
 	LogLevel      string          `json:"log_level"`
+
+	// ResultRetention is how long an ended batch job can be read after its submission; 0 keeps all.
+	ResultRetention config.Duration `json:"result_retention"`
 }
 
 // ReadMember reads the settings of a member; the error is of type config.FieldErrors.
@@ -46,6 +48,6 @@
 	checker.inRange("memory_mb", member.MemoryMB, 32, 1<<20)
 	checker.inRange("cores", member.Cores, 0.01, 1024)
 	checker.duration("grace_period", member.GracePeriod, 500*time.Millisecond, time.Hour)
-	checker.duration("drain_period", member.DrainPeriod, 0, time.Hour)
+	checker.duration("result_retention", member.ResultRetention, 0, 30*24*time.Hour)
 	checker.oneOf("log_level", member.LogLevel, "debug", "info", "warn", "error")
 }
--- a/io/process/worker/worker.go
+++ b/io/process/worker/worker.go
@@ -45,6 +45,7 @@
 	wroteAt  time.Time
 	scanned  time.Time
 	stopping bool
+	sweptAt  time.Time
 	kept     checkpoints
 	left     ledger.Progresses // by a former process on this VM
 	retired  map[string]bool   // VMs that were reported as empty
@@ -162,6 +163,7 @@
 		worker.claim(ctx, view)
 	}
 	worker.retire(ctx, workers)
+	worker.sweep(ctx, time.Now(), workers)
 }
 
 func (worker *Worker) adopt(table *routes.Table, view ledger.View, progress map[string]ledger.Progress) {
