members: fewer messages in larger fleets; a weak entry does not cut its streams

Counts go out less often in larger fleets (some 300 messages a second heard at most), urgent ones only to the owners of batch items at the crowded engine, and a process that gets its turns late does not hold its own silence against an engine.

--- a/core/coordination/placement/placement.go
+++ b/core/coordination/placement/placement.go
@@ -386,6 +386,17 @@
 	return yields
 }
 
+// BatchOwners returns the other processes that have told of batch items at an engine.
+func (pool *Pool) BatchOwners(chosen fleet.Engine) (owners []string) {
+	digest, owners := chosen.Digest(), []string{}
+	for peer, counts := range pool.peers {
+		if slices.ContainsFunc(counts, func(count Counts) bool { return count.Engine == digest && count.Batch > 0 }) {
+			owners = append(owners, peer)
+		}
+	}
+	return owners
+}
+
 // before returns the batch items at an engine of the processes that yield before this one.
 func (pool *Pool) before(digest uint64) (items []int) {
 	own := yieldOrder(pool.Self, digest)
--- a/core/coordination/placement/placement_test.go
+++ b/core/coordination/placement/placement_test.go
@@ -96,6 +96,10 @@
 		return strings.Join(lines, "\n")
 	case "yields":
 		return script.yields()
+	case "owners":
+		owners := script.pool.BatchOwners(script.engines[words[1]])
+		slices.Sort(owners)
+		return fmt.Sprint(owners)
 	}
 	script.t.Fatalf("unknown command %q", words[0])
 	return ""
--- a/io/process/ingress/online.go
+++ b/io/process/ingress/online.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"cowslipway/core/coordination/placement"
+	"cowslipway/core/coordination/retry"
 	"cowslipway/core/state/fleet"
 	"cowslipway/core/state/routes"
 	"cowslipway/io/port"
@@ -27,9 +28,9 @@
 	silenceShare = 0.5
 	// pauseFactor times the longest pause that is still on time makes a stream go on elsewhere.
 	pauseFactor = 2
-	// busyFactor times the above is how long it waits where the engine answers others meanwhile.
-	busyFactor = 5
-	copyBytes  = 16 << 10
+	// silenceExtensions bound it to five times that where the engine, or this process, is only busy.
+	silenceExtensions = 4
+	copyBytes         = 16 << 10
 	// wholeBytes of an answer that is no stream are read before its head is handed on, so that another engine can
 	// still be tried when this one breaks off.
 	wholeBytes = 64 << 10
@@ -278,14 +279,14 @@
 		return &watchdog{}
 	}
 	watchdog := &watchdog{pause: pauseFactor * max(first, online.route.MaxPause)}
-	patience := busyFactor
+	silence := retry.Silence{Period: first, Extensions: silenceExtensions}
 	watchdog.timer = time.AfterFunc(time.Hour, func() { // armed below, once the field is set
-		// An engine that answers others is busy, not dark: in its queue the request is as near to a slot as elsewhere.
-		if patience--; patience > 0 && time.Since(online.server.Node.Upstream.Heard(engine.Address)) < first {
-			watchdog.timer.Reset(first)
+		node := online.server.Node
+		if silence.Elapsed(time.Since(node.Upstream.Heard(engine.Address)), node.Busy()) {
+			cancel()
 			return
 		}
-		cancel()
+		watchdog.timer.Reset(first)
 	})
 	watchdog.timer.Reset(first)
 	return watchdog
--- a/io/process/node/node.go
+++ b/io/process/node/node.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -59,6 +60,8 @@
 	tickets   map[int]chan placement.Decision
 	told      []placement.Counts
 	toldAt    time.Time
+	urgedAt   time.Time
+	lag       atomic.Int64 // nanoseconds by which the last tick was late
 	lease     int64
 	again     chan struct{} // the registration has to be written anew
 	leaving   bool
--- a/io/process/node/placing.go
+++ b/io/process/node/placing.go
@@ -13,6 +13,11 @@
 	tickPeriod   = 25 * time.Millisecond  // between two looks at the queue; a request holds a slot for 700 ms
 	tellPeriod   = 200 * time.Millisecond // counts are sent at least that often, since datagrams get lost
 	urgentPeriod = 3 * time.Millisecond   // urgent counts are sent no closer together
+	// smallFleet is the number of members up to which counts go out at each tick. In larger ones they go out less often,
+	// so that each member hears some 300 messages a second at most, whatever the size.
+	smallFleet = 8
+	// busyLag is how late a tick has to be for this process to count as short of processor time.
+	busyLag = 15 * time.Millisecond
 )
 
 func (node *Node) setEngines(engines []fleet.Engine) {
@@ -70,11 +75,14 @@
 func (node *Node) tick(ctx context.Context) {
 	ticker := time.NewTicker(tickPeriod)
 	defer ticker.Stop()
+	last := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
+			node.lag.Store(int64(time.Since(last) - tickPeriod))
+			last = time.Now()
 			node.directory.expire(now)
 			node.placing.Lock()
 			if node.pool.Waiting() > 0 {
@@ -83,24 +91,42 @@
 			yields := node.pool.Yields(now)
 			node.placing.Unlock()
 			node.yield(yields)
-			node.tell(now, false)
+			node.tell(now)
 		}
 	}
 }
 
+// Busy reports whether this process gets its turns late: what it has not read yet may have come long ago.
+func (node *Node) Busy() bool { return time.Duration(node.lag.Load()) > busyLag }
+
 // tell sends the counts to the others where they have changed or time has passed.
-func (node *Node) tell(now time.Time, urgent bool) {
+func (node *Node) tell(now time.Time) {
+	period := tickPeriod * time.Duration((node.mesh.Size()+smallFleet-1)/smallFleet)
 	node.placing.Lock()
 	counts := node.pool.Own()
 	passed := now.Sub(node.toldAt)
 	changed := !slices.Equal(counts, node.told)
-	if passed < urgentPeriod || !urgent && !changed && passed < tellPeriod {
+	if passed < period-tickPeriod/2 || !changed && passed < tellPeriod {
 		node.placing.Unlock()
 		return
 	}
 	node.told, node.toldAt = counts, now
 	node.placing.Unlock()
-	node.mesh.Tell(counts)
+	node.mesh.Tell(counts, nil)
+}
+
+// tellOwners sends the counts at once to those whose batch items have to give way at an engine.
+func (node *Node) tellOwners(engine fleet.Engine) {
+	now := time.Now()
+	node.placing.Lock()
+	if now.Sub(node.urgedAt) < urgentPeriod {
+		node.placing.Unlock()
+		return // the next tick tells
+	}
+	node.urgedAt = now
+	counts, owners := node.pool.Own(), node.pool.BatchOwners(engine)
+	node.placing.Unlock()
+	node.mesh.Tell(counts, owners)
 }
 
 // Acquire finds an engine for an online request; it waits in the queue where that can help.
@@ -111,7 +137,7 @@
 	if decision.Ticket == 0 {
 		node.placing.Unlock()
 		if decision.Urgent {
-			node.tell(now, true)
+			node.tellOwners(decision.Engine)
 		}
 		return decision, nil
 	}
@@ -135,7 +161,7 @@
 		return placement.Decision{}, ctx.Err()
 	}
 	if decision.Urgent {
-		node.tell(time.Now(), true)
+		node.tellOwners(decision.Engine)
 	}
 	return decision, nil
 }
--- a/io/protocol/member/mesh.go
+++ b/io/protocol/member/mesh.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -249,10 +250,22 @@
 	}
 }
 
-// Tell sends counts to all members that are connected.
-func (mesh *Mesh) Tell(counts []placement.Counts) {
+// Size returns the number of the members that counts are exchanged with.
+func (mesh *Mesh) Size() (size int) {
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	for _, member := range mesh.members {
+		if member.Role != fleet.ReporterRole {
+			size++
+		}
+	}
+	return size
+}
+
+// Tell sends counts to the named members that are connected; nil names all of them.
+func (mesh *Mesh) Tell(counts []placement.Counts, owners []string) {
 	now := time.Now()
-	sequence, links := mesh.next()
+	sequence, links := mesh.next(owners)
 	message := Message{Sequence: sequence, Counts: counts}
 	mesh.mutex.Lock()
 	for owner, member := range mesh.members {
@@ -275,17 +288,17 @@
 
 // Report sends what runs and waits at the engine on this VM to all members that are connected.
 func (mesh *Mesh) Report(running, waiting int) {
-	sequence, links := mesh.next()
+	sequence, links := mesh.next(nil)
 	send(links, EncodeReport(sequence, running, waiting))
 }
 
-// next returns the number of the next message, and the connections that it goes to: reporters need none.
-func (mesh *Mesh) next() (sequence uint64, links []*quic.Conn) {
+// next returns the number of the next message, and the connections of the named members, or of all: reporters need none.
+func (mesh *Mesh) next(owners []string) (sequence uint64, links []*quic.Conn) {
 	mesh.mutex.Lock()
 	defer mesh.mutex.Unlock()
 	mesh.sequence++
 	for owner, link := range mesh.links {
-		if mesh.members[owner].Role != fleet.ReporterRole {
+		if mesh.members[owner].Role != fleet.ReporterRole && (owners == nil || slices.Contains(owners, owner)) {
 			links = append(links, link)
 		}
 	}
