--- a/core/coordination/jobs/runner.go
+++ b/core/coordination/jobs/runner.go
@@ -29,15 +29,15 @@
 
 // The verdicts.
 const (
-	Finished Verdict = iota // the whole output is there
-	Rejected                // it can never be done
-	Errored                 // the engine reports a failure
-	Refused                 // the engine did not run it
-	Broken                  // the run broke off
-	Yielded                 // it was cut to make room
+	Finished  Verdict = iota // the whole output is there
+	Rejected                 // it can never be done
+	Errored                  // the engine reports a failure
+	Refused                  // the engine did not run it
+	Broken                   // the run broke off
+	Preempted                // it was cut to make room
 )
 
-var verdictNames = [...]string{"finished", "rejected", "errored", "refused", "broken", "yielded"}
+var verdictNames = [...]string{"finished", "rejected", "errored", "refused", "broken", "preempted"}
 
 // String returns the verdict's name.
 func (verdict Verdict) String() string { return verdictNames[verdict] }
@@ -204,7 +204,7 @@
 		}
 		item.notBefore = now.Add(min(brokenLimit, brokenPause<<min(item.broken, 8)))
 		item.broken++
-	case Yielded:
+	case Preempted:
 	}
 	if !item.done && now.After(job.Abandon) {
 		job.settle(item, ledger.Result{ID: item.ID, State: ledger.Failed})
--- a/core/coordination/placement/placement.go
+++ b/core/coordination/placement/placement.go
@@ -74,9 +74,9 @@
 	reports      int
 }
 
-// foreign is work at the engine that no process has told of, such as that of one which is cut off from this one. A single
+// unaccounted is work at the engine that no process has told of, such as that of one which is cut off from this one. A single
 // report proves none: the counts are a little older or newer than it.
-func (engine *engine) foreign() int {
+func (engine *engine) unaccounted() int {
 	if engine.reports < reportsKept {
 		return 0
 	}
@@ -84,7 +84,7 @@
 }
 
 func (engine *engine) total() int {
-	return engine.counted() + engine.foreign()
+	return engine.counted() + engine.unaccounted()
 }
 
 // counted is the work that processes have told of.
@@ -92,8 +92,10 @@
 	return engine.online + engine.batch + engine.otherOnline + engine.otherBatch
 }
 
-// allOnline takes foreign work as online, since batch items of others are never worth more.
-func (engine *engine) allOnline() int { return engine.online + engine.otherOnline + engine.foreign() }
+// allOnline takes unaccounted work as online, since batch items of others are never worth more.
+func (engine *engine) allOnline() int {
+	return engine.online + engine.otherOnline + engine.unaccounted()
+}
 
 type waiter struct {
 	ticket int
@@ -244,8 +246,8 @@
 	chosen := best(found, want.Domain, func(engine *engine) bool { return engine.total() < engine.Slots }, (*engine).total)
 	urgent := false
 	if chosen == nil {
-		yields := func(engine *engine) bool { return engine.allOnline() < engine.Slots }
-		chosen, urgent = best(found, want.Domain, yields, (*engine).allOnline), true
+		preemptible := func(engine *engine) bool { return engine.allOnline() < engine.Slots }
+		chosen, urgent = best(found, want.Domain, preemptible, (*engine).allOnline), true
 	}
 	if chosen == nil {
 		return Decision{}, false
@@ -362,10 +364,10 @@
 // Waiting returns the length of the queue.
 func (pool *Pool) Waiting() int { return len(pool.waiting) }
 
-// Yields returns how many of this process's batch items at each engine have to give their slot back. What is there
+// Preemptions returns how many of this process's batch items at each engine have to give their slot back. What is there
 // beyond the engine's slots falls to the owners of its batch items in an order that all of them know, so that two
-// do not yield for the same request.
-func (pool *Pool) Yields(now time.Time) (yields map[uint64]int) {
+// items are not preempted for the same request.
+func (pool *Pool) Preemptions(now time.Time) (preemptions map[uint64]int) {
 	for digest, engine := range pool.engines {
 		excess := engine.total() - engine.Slots
 		if excess <= 0 {
@@ -378,12 +380,12 @@
 		if excess <= 0 || engine.batch == 0 {
 			continue
 		}
-		if yields == nil {
-			yields = map[uint64]int{}
+		if preemptions == nil {
+			preemptions = map[uint64]int{}
 		}
-		yields[digest] = min(excess, engine.batch)
+		preemptions[digest] = min(excess, engine.batch)
 	}
-	return yields
+	return preemptions
 }
 
 // BatchOwners returns the other processes that have told of batch items at an engine.
@@ -397,11 +399,11 @@
 	return owners
 }
 
-// before returns the batch items at an engine of the processes that yield before this one.
+// before returns the batch items at an engine of the processes whose items are preempted before those of this one.
 func (pool *Pool) before(digest uint64) (items []int) {
-	own := yieldOrder(pool.Self, digest)
+	own := preemptionOrder(pool.Self, digest)
 	for peer, counts := range pool.peers {
-		if yieldOrder(peer, digest) >= own {
+		if preemptionOrder(peer, digest) >= own {
 			continue
 		}
 		for _, count := range counts {
@@ -413,7 +415,7 @@
 	return items
 }
 
-// yieldOrder differs from engine to engine, so that no process always yields first.
-func yieldOrder(process string, digest uint64) uint64 {
+// preemptionOrder differs from engine to engine, so that no process always loses its items first.
+func preemptionOrder(process string, digest uint64) uint64 {
 	return xxhash.Sum64String(process + "/" + strconv.FormatUint(digest, 16))
 }
--- a/core/coordination/placement/placement_test.go
+++ b/core/coordination/placement/placement_test.go
@@ -94,8 +94,8 @@
 			lines = append(lines, fmt.Sprintf("ticket %d: %s", grant.Ticket, describe(grant.Decision)))
 		}
 		return strings.Join(lines, "\n")
-	case "yields":
-		return script.yields()
+	case "preemptions":
+		return script.preemptions()
 	case "owners":
 		owners := script.pool.BatchOwners(script.engines[words[1]])
 		slices.Sort(owners)
@@ -180,11 +180,11 @@
 	return fmt.Sprintf("refused (%s), back in %s", decision.Reason, decision.RetryAfter.Round(time.Millisecond))
 }
 
-func (script *script) yields() string {
-	yields := script.pool.Yields(script.now)
+func (script *script) preemptions() string {
+	preemptions := script.pool.Preemptions(script.now)
 	var lines []string
 	for id, engine := range script.engines {
-		if count := yields[engine.Digest()]; count > 0 {
+		if count := preemptions[engine.Digest()]; count > 0 {
 			lines = append(lines, fmt.Sprintf("%d at %s", count, id))
 		}
 	}
@@ -199,9 +199,9 @@
 	}
 }
 
-// TestOneProcessYields plays a burst of online requests over items of three workers: for each request beyond the
+// TestOneProcessPreempts plays a burst of online requests over items of three workers: for each request beyond the
 // slots exactly one item gives way, whoever owns it, once all have heard the same.
-func TestOneProcessYields(t *testing.T) {
+func TestOneProcessPreempts(t *testing.T) {
 	engine := fleet.Engine{ID: "e", Service: "llm", Slots: 8}
 	workers := []string{"w1", "w2", "w3"}
 	for online := 3; online <= 8; online++ {
@@ -221,7 +221,7 @@
 					pool.Hear(other, []Counts{{Engine: engine.Digest(), Batch: 2}})
 				}
 			}
-			total += pool.Yields(time.Now())[engine.Digest()]
+			total += pool.Preemptions(time.Now())[engine.Digest()]
 		}
 		if excess := online + 6 - 8; total != excess {
 			t.Errorf("%d online requests beside 6 batch items at 8 slots: %d give way, want %d", online, total, excess)
--- a/io/port/port.go
+++ b/io/port/port.go
@@ -77,7 +77,7 @@
 // Answer is what an engine's response head says beside its status.
 type Answer struct {
 	RequestID string
-	Stamped   bool // it bears the engine's proof of origin
+	Signed    bool // it bears the engine's signature
 	NotRun    bool // the engine has not run the request and will not
 	Other     bool // another engine than the one that was meant has the address
 	Load      Load
--- a/io/process/ingress/online.go
+++ b/io/process/ingress/online.go
@@ -224,9 +224,9 @@
 			node.Failed(engine)
 		}
 		return notRun, errors.Errorf("status %d, not run", status)
-	case !exchange.Answer.Stamped:
+	case !exchange.Answer.Signed:
 		online.blame(engine)
-		return unknown, errors.Errorf("status %d without a proof of origin", status)
+		return unknown, errors.Errorf("status %d without the engine's signature", status)
 	case status >= http.StatusInternalServerError && online.route.Repeatable() && online.attempts < online.route.MaxAttempts:
 		exchange.Drain()
 		return unknown, errors.Errorf("status %d", status)
--- a/io/process/node/node.go
+++ b/io/process/node/node.go
@@ -46,7 +46,7 @@
 	Driver   store.Driver
 	Engines  port.Engines
 	Log      *zap.Logger
-	Yield    func(yields map[uint64]int) // batch items that have to give way, by engine; may be nil
+	Preempt  func(preemptions map[uint64]int) // batch items that have to give way, by engine; may be nil
 
 	Store     *store.Store
 	Upstream  *upstream.Pool
@@ -83,7 +83,7 @@
 		Fingerprint:   identity.Fingerprint,
 		Engine:        node.Settings.Engine,
 	}
-	node.relay = &store.Relay{Direct: node.Driver, Changed: node.detourChanged}
+	node.relay = &store.Relay{Direct: node.Driver, Changed: node.fallbackChanged}
 	node.Store = &store.Store{Driver: node.relay, Timeout: storeTimeout, Changed: node.storeChanged}
 	node.Upstream = &upstream.Pool{DialTimeout: dialTimeout, Engines: node.Engines}
 	node.mesh = &member.Mesh{Self: node.self, Identity: identity, Log: node.Log, Heard: node.heard, Reported: node.reported}
@@ -131,8 +131,8 @@
 	node.Log.Warn("store lost", zap.Duration("view_age", node.directory.age()))
 }
 
-func (node *Node) detourChanged(detour bool) {
-	node.Log.Info("way to the store", zap.Bool("by_peers", detour))
+func (node *Node) fallbackChanged(fallback bool) {
+	node.Log.Info("store access changed", zap.Bool("via_peers", fallback))
 }
 
 // register keeps a lease and the record of this process under it.
--- a/io/process/node/placing.go
+++ b/io/process/node/placing.go
@@ -37,9 +37,9 @@
 	node.placing.Lock()
 	node.pool.Hear(peer, counts)
 	node.hand(node.pool.Tick(time.Now()))
-	yields := node.pool.Yields(time.Now())
+	preemptions := node.pool.Preemptions(time.Now())
 	node.placing.Unlock()
-	node.yield(yields)
+	node.preempt(preemptions)
 }
 
 // reported takes in what an engine says of itself.
@@ -47,17 +47,17 @@
 	now := time.Now()
 	node.placing.Lock()
 	node.pool.Report(engine, running+waiting)
-	yields := node.pool.Yields(now)
+	preemptions := node.pool.Preemptions(now)
 	node.placing.Unlock()
-	node.yield(yields)
+	node.preempt(preemptions)
 }
 
 // Report tells the others what runs and waits at the engine on this VM.
 func (node *Node) Report(running, waiting int) { node.mesh.Report(running, waiting) }
 
-func (node *Node) yield(yields map[uint64]int) {
-	if len(yields) > 0 && node.Yield != nil {
-		node.Yield(yields)
+func (node *Node) preempt(preemptions map[uint64]int) {
+	if len(preemptions) > 0 && node.Preempt != nil {
+		node.Preempt(preemptions)
 	}
 }
 
@@ -88,9 +88,9 @@
 			if node.pool.Waiting() > 0 {
 				node.hand(node.pool.Tick(now))
 			}
-			yields := node.pool.Yields(now)
+			preemptions := node.pool.Preemptions(now)
 			node.placing.Unlock()
-			node.yield(yields)
+			node.preempt(preemptions)
 			node.tell(now)
 		}
 	}
--- a/io/process/reporter/reporter.go
+++ b/io/process/reporter/reporter.go
@@ -61,7 +61,7 @@
 		load, err := reporter.load(ctx, client)
 		if (err == nil) != reachable {
 			reachable = err == nil
-			reporter.Log.Info("engine's word", zap.Bool("reachable", reachable), telemetry.Err(err))
+			reporter.Log.Info("engine report", zap.Bool("reachable", reachable), telemetry.Err(err))
 		}
 		pause := askPeriod
 		switch {
--- a/io/process/worker/item.go
+++ b/io/process/worker/item.go
@@ -55,8 +55,8 @@
 			worker.Node.Gone(engine)
 		}
 		return jobs.Refused, progress, errors.Errorf("status %d, not run", status)
-	case !exchange.Answer.Stamped:
-		return jobs.Broken, progress, errors.Errorf("status %d without a proof of origin", status)
+	case !exchange.Answer.Signed:
+		return jobs.Broken, progress, errors.Errorf("status %d without the engine's signature", status)
 	case status == http.StatusUnprocessableEntity:
 		exchange.Drain()
 		return jobs.Rejected, progress, nil
--- a/io/process/worker/stop.go
+++ b/io/process/worker/stop.go
@@ -75,7 +75,7 @@
 	limited, cancel := context.WithTimeout(ctx, handoverLimit)
 	defer cancel()
 	for run := range worker.running {
-		run.yield = true
+		run.preempted = true
 		run.cancel()
 	}
 	for limited.Err() == nil && (len(worker.running) > 0 || worker.writing || worker.runner.Unwritten() || len(worker.claiming) > 0) {
@@ -83,7 +83,7 @@
 		worker.await(limited, lookPeriod)
 	}
 	for _, id := range worker.runner.IDs() {
-		if err := worker.giveAway(limited, id); err != nil {
+		if err := worker.transfer(limited, id); err != nil {
 			worker.Log.Warn("job not handed over; it goes to another worker when the lease ends", zap.String("job", id), telemetry.Err(err))
 			continue
 		}
@@ -108,8 +108,8 @@
 	}
 }
 
-// giveAway records another worker as the owner of a job, and the progress of its items beside.
-func (worker *Worker) giveAway(ctx context.Context, id string) (err error) {
+// transfer records another worker as the owner of a job, and the progress of its items beside.
+func (worker *Worker) transfer(ctx context.Context, id string) (err error) {
 	view, _, _ := worker.Node.View(id)
 	others := slices.DeleteFunc(worker.Node.Members(fleet.WorkerRole), func(member fleet.Member) bool {
 		return member.Name == worker.Node.Self().Name
--- a/io/process/worker/worker.go
+++ b/io/process/worker/worker.go
@@ -56,11 +56,11 @@
 
 // run is a run of an item that is under way.
 type run struct {
-	work   jobs.Work
-	engine fleet.Engine
-	began  time.Time
-	cancel context.CancelFunc
-	yield  bool
+	work      jobs.Work
+	engine    fleet.Engine
+	began     time.Time
+	cancel    context.CancelFunc
+	preempted bool
 }
 
 // Run works until ctx ends, and then hands its jobs over.
@@ -71,9 +71,9 @@
 	worker.events = make(chan event, 256)
 	worker.kept = checkpoints{directory: worker.Node.Settings.DataDirectory, log: worker.Log}
 	worker.left = worker.kept.open()
-	worker.Node.Yield = func(yields map[uint64]int) {
+	worker.Node.Preempt = func(preemptions map[uint64]int) {
 		select {
-		case worker.events <- func() { worker.yield(yields) }:
+		case worker.events <- func() { worker.preempt(preemptions) }:
 		default: // the next look will tell again
 		}
 	}
@@ -287,24 +287,24 @@
 func (worker *Worker) ended(run *run, verdict jobs.Verdict, progress ledger.Progress, cause error) {
 	delete(worker.running, run)
 	worker.Node.Release(run.engine, true)
-	if run.yield {
-		verdict = jobs.Yielded
+	if run.preempted {
+		verdict = jobs.Preempted
 	}
 	switch verdict {
 	case jobs.Finished, jobs.Rejected, jobs.Errored:
 		worker.Node.Served(run.engine)
 	case jobs.Refused, jobs.Broken:
 		worker.Node.Failed(run.engine)
-	case jobs.Yielded:
+	case jobs.Preempted:
 	}
 	worker.Log.Info("item run", zap.String("job", run.work.Job.ID), zap.String("request", run.work.Item.ID), zap.String("engine", run.engine.ID),
 		zap.Stringer("verdict", verdict), zap.Int("events", len(progress.Data)), zap.Duration("took", time.Since(run.began)), telemetry.Cause("cause", cause))
 	worker.runner.Ended(time.Now(), run.work, verdict, progress)
 }
 
-// yield cuts the youngest runs at engines that have more work than slots.
-func (worker *Worker) yield(yields map[uint64]int) {
-	for digest, count := range yields {
+// preempt cuts the youngest runs at engines that have more work than slots.
+func (worker *Worker) preempt(preemptions map[uint64]int) {
+	for digest, count := range preemptions {
 		for ; count > 0; count-- {
 			var youngest *run
 			cut := 0
@@ -312,7 +312,7 @@
 				if run.engine.Digest() != digest {
 					continue
 				}
-				if run.yield {
+				if run.preempted {
 					cut++ // its slot will be free at once
 					continue
 				}
@@ -320,10 +320,10 @@
 					youngest = run
 				}
 			}
-			if youngest == nil || cut >= yields[digest] {
+			if youngest == nil || cut >= preemptions[digest] {
 				break
 			}
-			youngest.yield = true
+			youngest.preempted = true
 			youngest.cancel()
 		}
 	}
--- a/io/protocol/member/member_test.go
+++ b/io/protocol/member/member_test.go
@@ -32,12 +32,12 @@
 	}
 }
 
-// TestHearsay plays an entry that is cut off from a worker while a third process hears both.
-func TestHearsay(t *testing.T) {
+// TestIndirectCounts plays an entry that is cut off from a worker while a third process hears both.
+func TestIndirectCounts(t *testing.T) {
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	members := map[string]fleet.Member{"entry/1": {Name: "entry"}, "worker/1": {Name: "worker"}, "third/1": {Name: "third"}}
 	counts := []placement.Counts{{Engine: 7, Online: 2}}
-	var third, worker hearsay
+	var third, worker indirect
 	third.heard("entry/1", counts)
 	third.heard("worker/1", nil)
 	worker.heard("third/1", nil)
@@ -52,10 +52,10 @@
 	if owner, ok := worker.take(now, members, relayed[0]); !ok || owner != "entry/1" {
 		t.Errorf("the worker takes %q, %t", owner, ok)
 	}
-	if got := worker.expired(now.Add(hearsayFor)); len(got) > 0 {
+	if got := worker.expired(now.Add(indirectFor)); len(got) > 0 {
 		t.Errorf("forgotten too early: %v", got)
 	}
-	if got := worker.expired(now.Add(hearsayFor + 1)); len(got) != 1 {
+	if got := worker.expired(now.Add(indirectFor + 1)); len(got) != 1 {
 		t.Errorf("not forgotten: %v", got)
 	}
 	if got := third.relayed(now.Add(wantedFor)); len(got) > 0 {
--- a/io/protocol/member/mesh.go
+++ b/io/protocol/member/mesh.go
@@ -38,7 +38,7 @@
 	links    map[string]*quic.Conn
 	dialing  map[string]bool
 	sequence uint64
-	hearsay  hearsay
+	indirect indirect
 	socket   *quic.Transport
 	ctx      context.Context
 }
@@ -222,10 +222,10 @@
 	now := time.Now()
 	heard := map[string][]placement.Counts{owner: message.Counts}
 	mesh.mutex.Lock()
-	mesh.hearsay.heard(owner, message.Counts)
-	mesh.hearsay.missed(now, message.Missing)
+	mesh.indirect.heard(owner, message.Counts)
+	mesh.indirect.missed(now, message.Missing)
 	for _, relayed := range message.Relayed {
-		if other, ok := mesh.hearsay.take(now, mesh.members, relayed); ok {
+		if other, ok := mesh.indirect.take(now, mesh.members, relayed); ok {
 			heard[other] = relayed.Counts
 		}
 	}
@@ -241,7 +241,7 @@
 	current := mesh.links[owner] == link
 	if current {
 		delete(mesh.links, owner)
-		mesh.hearsay.heard(owner, nil)
+		mesh.indirect.heard(owner, nil)
 	}
 	mesh.mutex.Unlock()
 	if current {
@@ -273,8 +273,8 @@
 			message.Missing = append(message.Missing, digestOf(owner))
 		}
 	}
-	message.Relayed = mesh.hearsay.relayed(now)
-	expired := mesh.hearsay.expired(now)
+	message.Relayed = mesh.indirect.relayed(now)
+	expired := mesh.indirect.expired(now)
 	mesh.mutex.Unlock()
 	for _, owner := range expired {
 		mesh.Heard(owner, nil)
--- a/io/store/relay.go
+++ b/io/store/relay.go
@@ -11,8 +11,8 @@
 
 const (
 	directTimeout = 600 * time.Millisecond // of a call that can still go by a peer; a slow store takes 240 ms
-	detourBase    = time.Second            // calls go by peers for this long after the first failure
-	detourLimit   = 4 * time.Second        // and for at most this long before the direct way is tried again
+	fallbackBase  = time.Second            // calls go by peers for this long after the first failure
+	fallbackLimit = 4 * time.Second        // and for at most this long before the direct way is tried again
 	askedPeers    = 4                      // before a call fails: some of them may be turned away too
 )
 
@@ -46,7 +46,7 @@
 type Relay struct {
 	Direct  Driver
 	Ask     func(ctx context.Context, call []byte) (answer []byte, err error) // asks a peer that is connected
-	Changed func(detour bool)                                                 // called when the way changes; may be nil
+	Changed func(fallback bool)                                               // called when the way changes; may be nil
 
 	mutex    sync.Mutex
 	failures int
@@ -62,12 +62,12 @@
 	var made Answer
 	err := json.Unmarshal(question, &call)
 	relay.mutex.Lock()
-	detour := relay.failures > 0
+	fallback := relay.failures > 0
 	relay.mutex.Unlock()
 	switch {
 	case err != nil:
 		err = errors.WithType(err, ErrNotSent)
-	case detour:
+	case fallback:
 		err = errors.Annotate(ErrNotSent, "this process goes by peers itself")
 	default:
 		made, err = perform(ctx, relay.Direct, call)
@@ -132,12 +132,12 @@
 			err = askErr // the direct way's error says more
 		}
 	}
-	relay.noDetour()
+	relay.endFallback()
 	return answer, err
 }
 
-// noDetour lets the next call try the direct way, where peers are no better off.
-func (relay *Relay) noDetour() {
+// endFallback lets the next call try the direct way, where peers are no better off.
+func (relay *Relay) endFallback() {
 	relay.mutex.Lock()
 	defer relay.mutex.Unlock()
 	relay.until = time.Time{}
@@ -192,7 +192,7 @@
 			close(relay.broken)
 			relay.broken = nil
 		}
-		relay.until = time.Now().Add(min(detourLimit, detourBase<<min(relay.failures-1, 8)))
+		relay.until = time.Now().Add(min(fallbackLimit, fallbackBase<<min(relay.failures-1, 8)))
 	} else {
 		relay.failures = 0
 	}
