--- a/io/process/ingress/jobs.go
+++ b/io/process/ingress/jobs.go
@@ -18,8 +18,10 @@
 )
 
 const (
-	viewPatience   = 600 * time.Millisecond // news of the store take at most the follower's pace and a call
-	lostPatience   = 4 * time.Second        // a view older than that has missed a watch's end
+	viewPatience = 600 * time.Millisecond // news of the store take at most the follower's pace and a call
+	// staleAfter is older than a view gets whose watch waits 1 s and is paced by 400 ms: this process is behind, and asks
+	// the store before it says that there is nothing yet.
+	staleAfter     = 1500 * time.Millisecond
 	submitPatience = 1500 * time.Millisecond
 	endPatience    = 3 * time.Second // the end of a job has to be acknowledged within 4 s
 	writePause     = 100 * time.Millisecond
@@ -197,7 +199,8 @@
 		}
 	}
 	behind := len(view.Results) < call.After
-	if behind || len(view.Results) == call.After && len(view.Results) < len(view.Job.Items) && server.Node.ViewAge() > lostPatience {
+	open := len(view.Results) < len(view.Job.Items)
+	if behind || len(view.Results) == call.After && open && server.Node.ViewAge() > staleAfter && !server.current(ctx, view) {
 		server.refuse(writer, call, http.StatusServiceUnavailable, unreadyRetry, "results may exist that are not known here yet")
 		return
 	}
@@ -217,6 +220,13 @@
 	_, _ = writer.Write(body) // a caller that is gone asks again
 }
 
+// current reports whether the store has no results of a job beyond those of view.
+func (server *Server) current(ctx context.Context, view ledger.View) bool {
+	key := server.Node.Records.OwnKey(ledger.ChunkKey(view.Job.ID, view.Chunks))
+	_, further, err := server.Node.Store.Get(ctx, key)
+	return err == nil && !further
+}
+
 // serveItemBody answers with the body of one item.
 func (server *Server) serveItemBody(writer http.ResponseWriter, request *http.Request, call port.Call) {
 	view, status := server.find(request.Context(), call.JobID)
