--- a/io/process/ingress/online.go
+++ b/io/process/ingress/online.go
@@ -65,14 +65,14 @@
 	arrived time.Time
 	expires time.Time // zero: never
 
-	attempts  int
-	excluded  []uint64
-	mayHasRun bool
-	started   bool   // the head of the answer is with the caller
-	streaming bool   // the answer is a stream of events
-	lastEvent string // that the caller has had
-	events    int
-	firstAt   time.Time
+	attempts   int
+	excluded   []uint64
+	mayHaveRun bool
+	started    bool   // the head of the answer is with the caller
+	streaming  bool   // the answer is a stream of events
+	lastEvent  string // that the caller has had
+	events     int
+	firstAt    time.Time
 }
 
 func (server *Server) serveRouted(writer http.ResponseWriter, request *http.Request, call port.Call, arrived time.Time) {
@@ -146,7 +146,7 @@
 		}
 		online.excluded = append(online.excluded, decision.Engine.Digest())
 		if result == unknown {
-			online.mayHasRun = true
+			online.mayHaveRun = true
 			if !online.route.Repeatable() || online.started && !online.streaming {
 				break
 			}
@@ -173,9 +173,9 @@
 	case online.started:
 		online.log("broken off", fleet.Engine{}, zap.String("reason", reason))
 		panic(http.ErrAbortHandler)
-	case online.mayHasRun && ctx.Err() != nil:
+	case online.mayHaveRun && ctx.Err() != nil:
 		online.server.refuse(online.writer, online.call, http.StatusGatewayTimeout, 0, "time is up; the request may have run")
-	case online.mayHasRun:
+	case online.mayHaveRun:
 		online.server.refuse(online.writer, online.call, http.StatusBadGateway, 0, "the request may have run: "+reason)
 	default:
 		if reason == "" {
--- a/io/process/node/node.go
+++ b/io/process/node/node.go
@@ -55,17 +55,19 @@
 	mesh      *member.Mesh
 	directory directory
 
-	placing   sync.Mutex
-	pool      placement.Pool
-	tickets   map[int]chan placement.Decision
-	told      []placement.Counts
-	toldAt    time.Time
-	urgedAt   time.Time
-	lag       atomic.Int64 // nanoseconds by which the last tick was late
-	lease     int64
-	again     chan struct{} // the registration has to be written anew
-	leaving   bool
-	leaseLock sync.Mutex
+	lag   atomic.Int64  // nanoseconds by which the last tick was late
+	again chan struct{} // the registration has to be written anew
+
+	placing sync.Mutex // guards the five below
+	pool    placement.Pool
+	tickets map[int]chan placement.Decision // of requests that wait
+	told    []placement.Counts              // what the others heard last
+	toldAt  time.Time
+	urgedAt time.Time
+
+	leasing sync.Mutex // guards the two below
+	lease   int64
+	leaving bool
 }
 
 // Prepare builds what Run needs; the fields above may be used afterwards.
@@ -174,8 +176,8 @@
 }
 
 func (node *Node) currentLease() int64 {
-	node.leaseLock.Lock()
-	defer node.leaseLock.Unlock()
+	node.leasing.Lock()
+	defer node.leasing.Unlock()
 	return node.lease
 }
 
@@ -184,11 +186,11 @@
 	if err != nil {
 		return err
 	}
-	node.leaseLock.Lock()
+	node.leasing.Lock()
 	node.lease = lease
 	self := node.self
 	self.Leaving = node.leaving
-	node.leaseLock.Unlock()
+	node.leasing.Unlock()
 	value, err := json.Marshal(self)
 	if err != nil {
 		return err
@@ -202,9 +204,9 @@
 
 // Leave tells the others that this process is about to stop.
 func (node *Node) Leave() {
-	node.leaseLock.Lock()
+	node.leasing.Lock()
 	node.leaving = true
-	node.leaseLock.Unlock()
+	node.leasing.Unlock()
 	node.registerAgain()
 }
 
