ingress: not ready before the engines are known

A process was ready with the configuration, some milliseconds before the engines were listed: listing what serves requests first had split the two.

--- a/io/process/ingress/online.go
+++ b/io/process/ingress/online.go
@@ -76,11 +76,11 @@
 }
 
 func (server *Server) serveRouted(writer http.ResponseWriter, request *http.Request, call port.Call, arrived time.Time) {
-	table := server.Node.Table()
-	if table == nil {
-		server.refuse(writer, call, http.StatusServiceUnavailable, unreadyRetry, "no configuration is known yet")
+	if !server.Node.Ready() {
+		server.refuse(writer, call, http.StatusServiceUnavailable, unreadyRetry, "not run: configuration and engines are not known yet")
 		return
 	}
+	table := server.Node.Table()
 	uri, path := targetOf(request)
 	route, ok := table.Match(hostOf(request), path)
 	if !ok {
--- a/io/process/node/directory.go
+++ b/io/process/node/directory.go
@@ -31,6 +31,8 @@
 type directory struct {
 	node  *Node
 	table atomic.Pointer[routes.Table]
+	// listed says that engines and members have been listed once; members come after engines.
+	listed atomic.Bool
 
 	mutex      sync.Mutex
 	engines    map[string]fleet.Engine // by ID
@@ -109,6 +111,9 @@
 	if members {
 		directory.publishMembers()
 	}
+	if update.Reset && update.Prefix == directory.node.Records.OwnKey(memberPrefix) {
+		directory.listed.Store(true)
+	}
 }
 
 // forget drops what is below prefix but not among all the items that exist there.
--- a/io/process/node/node.go
+++ b/io/process/node/node.go
@@ -248,5 +248,5 @@
 // ViewAge tells how old the view of the store may be.
 func (node *Node) ViewAge() time.Duration { return node.directory.age() }
 
-// Ready reports whether the process knows enough to serve.
-func (node *Node) Ready() bool { return node.Table() != nil }
+// Ready reports whether the process knows enough to serve: the configuration, and which engines there are.
+func (node *Node) Ready() bool { return node.Table() != nil && node.directory.listed.Load() }
