--- a/core/coordination/placement/placement.go
+++ b/core/coordination/placement/placement.go
@@ -234,7 +234,7 @@
 	}
 	drain := pool.drain(now)
 	if now.Add(drain).After(want.Latest) {
-		return Decision{RetryAfter: min(max(drain, minRetryAfter), maxRetryAfter), Reason: "queue drains too late"}
+		return Decision{RetryAfter: retryAfter(drain), Reason: "queue drains too late"}
 	}
 	pool.tickets++
 	pool.waiting = append(pool.waiting, waiter{ticket: pool.tickets, want: want})
@@ -268,6 +268,11 @@
 	return time.Duration(float64(len(pool.waiting)+1) / rate * float64(time.Second))
 }
 
+// retryAfter is when a caller is to come back to a queue that takes drain to empty.
+func retryAfter(drain time.Duration) time.Duration {
+	return min(max(drain, minRetryAfter), maxRetryAfter)
+}
+
 func decay(passed time.Duration) float64 {
 	return 1 / (1 + max(0, passed.Seconds())/rateWindow.Seconds())
 }
@@ -344,8 +349,8 @@
 		case ok:
 			grants = append(grants, Grant{Ticket: waiter.ticket, Decision: decision})
 		case now.After(waiter.want.Latest):
-			retry := min(max(pool.drain(now), minRetryAfter), maxRetryAfter)
-			grants = append(grants, Grant{Ticket: waiter.ticket, Decision: Decision{RetryAfter: retry, Reason: "no slot in time"}})
+			decision = Decision{RetryAfter: retryAfter(pool.drain(now)), Reason: "no slot in time"}
+			grants = append(grants, Grant{Ticket: waiter.ticket, Decision: decision})
 		default:
 			kept = append(kept, waiter)
 		}
--- a/io/store/store.go
+++ b/io/store/store.go
@@ -79,9 +79,8 @@
 // Store is a Driver with a breaker: after a few failures in a row calls fail at once for a short, random time.
 type Store struct {
 	Driver  Driver
-	Timeout time.Duration                  // of one call
-	Changed func(reachable bool)           // called when the service is lost or regained; may be nil
-	Called  func(call string, failed bool) // called after each call, for counters; may be nil
+	Timeout time.Duration        // of one call
+	Changed func(reachable bool) // called when the service is lost or regained; may be nil
 
 	mutex    sync.Mutex
 	failures int
@@ -102,9 +101,6 @@
 	defer cancel()
 	err = call(ctx)
 	failed := errors.Is(err, ErrNotSent) || errors.Is(err, ErrUnknown)
-	if store.Called != nil {
-		store.Called(name, failed)
-	}
 	store.record(failed)
 	return err
 }
