ingress, worker: failed attempts log the fingerprint of the request

To tell whether the same request fails at one engine after another, its repeats have to be recognized: each has an identifier of its own, may come to another process, and nothing else in the logs named it. The fingerprint is a digest of method, host, path with query, and body. It is computed only where the outcome of an attempt is unknown or a run of an item was interrupted.

--- a/io/process/ingress/online.go
+++ b/io/process/ingress/online.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"cowslipway/core/coordination/placement"
+	"cowslipway/core/coordination/poisonpill"
 	"cowslipway/core/coordination/retry"
 	"cowslipway/core/state/fleet"
 	"cowslipway/core/state/routes"
@@ -163,7 +164,7 @@
 		result, cause := online.attempt(ctx, decision.Engine)
 		telemetry.Attempts.Add(result.String(), 1)
 		telemetry.EngineResults.Add(decision.Engine.ID+" "+result.String(), 1)
-		online.log("attempt", decision.Engine, zap.Stringer("outcome", result), telemetry.NamedErr("cause", cause))
+		online.log("attempt", decision.Engine, zap.Stringer("outcome", result), telemetry.NamedErr("cause", cause), online.fingerprintField(result))
 		if errors.Is(cause, upstream.ErrNotSent) && online.recordConnectFailure() {
 			online.attempts-- // the request was not sent in this attempt
 		}
@@ -183,6 +184,20 @@
 	online.rejectUnserved(ctx, retryAfter, reason, fields)
 }
 
+// fingerprint returns the fingerprint of the request.
+func (online *onlineRequest) fingerprint() poisonpill.Fingerprint {
+	return poisonpill.FingerprintOf(online.request.Method, online.request.Host, online.request.RequestURI, online.body)
+}
+
+// fingerprintField returns the log field with the fingerprint of the request after an attempt whose outcome is unknown, and
+// no field after any other attempt.
+func (online *onlineRequest) fingerprintField(result outcome) zap.Field {
+	if result != unknown {
+		return zap.Skip()
+	}
+	return zap.Stringer("fingerprint", online.fingerprint())
+}
+
 // recordConnectFailure counts an engine that did not accept a connection. It reports whether another engine may be tried
 // without using up an attempt.
 func (online *onlineRequest) recordConnectFailure() bool {
--- a/io/process/telemetry/events.go
+++ b/io/process/telemetry/events.go
@@ -49,7 +49,7 @@
 	{"engine report", "reachable error", "the engine on this VM became reachable or unreachable for the reporter"},
 
 	{"placed", "request route configuration engine attempt urgent load candidates waiting waited view_age events first since_arrival", "an online request is about to be sent to an engine; urgent to view_age describe the placement decision"},
-	{"attempt", "request route configuration engine attempt outcome cause events first since_arrival", "an attempt at an engine ended"},
+	{"attempt", "request route configuration engine attempt outcome cause fingerprint events first since_arrival", "an attempt at an engine ended; fingerprint identifies the request by its content, whatever its identifier, and is set if the outcome is unknown"},
 	{"refused", "request job status retry_after reason urgent load candidates waiting waited view_age", "a call ended with an error status: it was rejected, or its attempts failed"},
 	{"caller gone", "request route configuration engine attempt events first since_arrival", "the caller disconnected before the response was complete"},
 	{"broken off", "request route configuration engine attempt events first since_arrival reason", "a response was interrupted after part of it had been sent, and no engine could resume it"},
@@ -64,7 +64,7 @@
 	{"job ended", "job", "the caller cancelled the job; its items are no longer run"},
 	{"job swept", "job chunks", "the records of an expired job were deleted"},
 	{"job not swept yet", "job error", "deleting the records of an expired job failed; it is retried"},
-	{"item run", "job request engine verdict events took cause", "one run of a batch item ended"},
+	{"item run", "job request engine verdict events took cause fingerprint", "one run of a batch item ended; fingerprint identifies the item by its content and is set if the run was interrupted"},
 	{"item given up: it has no route", "job request configuration", "no route matches the item; its result is an error"},
 	{"results not written yet", "writes error", "writing results failed; the same write is retried"},
 	{"results could not be encoded", "error", "results could not be encoded for the store; this is a bug"},
--- a/io/process/worker/item.go
+++ b/io/process/worker/item.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 
 	"cowslipway/core/coordination/jobrunner"
+	"cowslipway/core/coordination/poisonpill"
 	"cowslipway/core/state/fleet"
 	"cowslipway/core/state/jobrecord"
 	"cowslipway/io/port"
@@ -77,6 +78,11 @@
 	return worker.readEvents(exchange, idleTimer, itemRun, progress)
 }
 
+// fingerprintOf returns the fingerprint of an item's request.
+func fingerprintOf(itemRun jobrunner.ItemRun) poisonpill.Fingerprint {
+	return poisonpill.FingerprintOf(http.MethodPost, itemRun.Job.Host, itemRun.Item.Path, itemRun.Item.Body)
+}
+
 // saveProgress queues a checkpoint of the events of progress from index saved on, and returns the number of events that are
 // then saved.
 func (worker *Worker) saveProgress(itemRun jobrunner.ItemRun, progress jobrecord.Progress, saved int) int {
--- a/io/process/worker/worker.go
+++ b/io/process/worker/worker.go
@@ -319,10 +319,19 @@
 	telemetry.ItemTime.Observe(outcome.String(), time.Since(run.started))
 	telemetry.EngineResults.Add(run.engine.ID+" item "+outcome.String(), 1)
 	worker.Log.Info("item run", zap.String("job", run.itemRun.Job.ID), zap.String("request", run.itemRun.Item.ID), zap.String("engine", run.engine.ID),
-		zap.Stringer("verdict", outcome), zap.Int("events", len(progress.Data)), zap.Duration("took", time.Since(run.started)), telemetry.NamedErr("cause", cause))
+		zap.Stringer("verdict", outcome), zap.Int("events", len(progress.Data)), zap.Duration("took", time.Since(run.started)), telemetry.NamedErr("cause", cause), fingerprintField(run.itemRun, outcome))
 	worker.runner.RecordOutcome(time.Now(), run.itemRun, outcome, progress)
 }
 
+// fingerprintField returns the log field with the fingerprint of an item after an interrupted run, and no field after any
+// other run.
+func fingerprintField(itemRun jobrunner.ItemRun, outcome jobrunner.Outcome) zap.Field {
+	if outcome != jobrunner.Interrupted {
+		return zap.Skip()
+	}
+	return zap.Stringer("fingerprint", fingerprintOf(itemRun))
+}
+
 // preempt cancels the youngest runs at overloaded engines. preemptions holds the number of runs to cancel, by digest of
 // their engine.
 func (worker *Worker) preempt(preemptions map[uint64]int) {
