ingress, store: log answers without results, and listings of the store

An ingress that answers that a job has no result at a position now logs the position, the number of results that it knows, the age of its view and what the view was last read from, how long the call took and whether the store was asked. A follower logs the start and the end of each listing of all keys, with the reason, the number of prefixes and the duration. No change in behaviour.

One line per call without results: a caller that waits for results reads at most twice a second.

--- a/io/process/ingress/jobs.go
+++ b/io/process/ingress/jobs.go
@@ -180,9 +180,10 @@
 
 // serveResults answers with a page of the results after position call.After. It waits up to call.Wait for the first one.
 func (server *Server) serveResults(writer http.ResponseWriter, request *http.Request, call port.Call) {
-	ctx := request.Context()
+	ctx, arrived := request.Context(), time.Now()
 	view, status := server.findJob(ctx, call.JobID)
 	if status != 0 {
+		server.logNoResults(call, view, server.Node.ViewAge(), true, arrived, "job not found")
 		server.rejectJob(writer, call, status)
 		return
 	}
@@ -205,10 +206,17 @@
 	}
 	viewBehind := len(view.Results) < call.After
 	unfinished := len(view.Results) < len(view.Job.Items)
-	if viewBehind || len(view.Results) == call.After && unfinished && server.Node.ViewAge() > maxViewAge && !server.isCurrent(ctx, view) {
+	viewAge := server.Node.ViewAge()
+	empty := len(view.Results) == call.After && unfinished
+	askStore := empty && viewAge > maxViewAge
+	if viewBehind || askStore && !server.isCurrent(ctx, view) {
+		server.logNoResults(call, view, viewAge, askStore, arrived, "behind")
 		server.reject(writer, call, http.StatusServiceUnavailable, notReadyRetryAfter, "results may exist that are not known here yet")
 		return
 	}
+	if empty {
+		server.logNoResults(call, view, viewAge, askStore, arrived, "empty page")
+	}
 	page, size := []jobrecord.Result{}, 0
 	for _, result := range view.Results[call.After:] {
 		if size += len(result.Text); size > maxPageBytes && len(page) > 0 {
@@ -225,6 +233,17 @@
 	_, _ = writer.Write(body) // a caller that has disconnected repeats the call
 }
 
+// logNoResults logs that a call for results gets none.
+func (server *Server) logNoResults(call port.Call, view jobrecord.View, viewAge time.Duration, storeAsked bool, arrived time.Time, outcome string) {
+	items := 0
+	if view.Job != nil {
+		items = len(view.Job.Items)
+	}
+	server.Log.Info("no results", zap.String("job", call.JobID), zap.Int("after", call.After), zap.Int("known", len(view.Results)), zap.Int("items", items),
+		zap.Duration("view_age", viewAge), zap.String("view_source", server.Node.ViewSource()), zap.Bool("store_asked", storeAsked),
+		zap.Duration("took", time.Since(arrived)), zap.String("outcome", outcome))
+}
+
 // isCurrent reports whether view holds all results of its job that are in the store. It reports false where the store
 // does not answer.
 func (server *Server) isCurrent(ctx context.Context, view jobrecord.View) bool {
--- a/io/process/node/directory.go
+++ b/io/process/node/directory.go
@@ -42,6 +42,7 @@
 	retiring       map[string]string       // keys of the records of retiring VMs, by name
 	jobs           jobrecord.Cache
 	asOf           time.Time     // the view reflects the store at this time or later
+	source         string        // Update.Source of the last update
 	reachableSince time.Time     // when the store last became reachable after an outage
 	changed        chan struct{} // closed at the next change of any record
 }
@@ -71,6 +72,13 @@
 	return time.Since(directory.asOf)
 }
 
+// viewSource returns what the last update of the view was read from.
+func (directory *directory) viewSource() (source string) {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	return directory.source
+}
+
 // apply updates the view with an update from the store.
 func (directory *directory) apply(update store.Update) {
 	directory.mutex.Lock()
@@ -102,7 +110,7 @@
 		case port.OtherRecord:
 		}
 	}
-	directory.asOf = update.AsOf
+	directory.asOf, directory.source = update.AsOf, update.Source
 	if len(update.Items) > 0 || update.Reset {
 		close(directory.changed)
 		directory.changed = make(chan struct{})
--- a/io/process/node/node.go
+++ b/io/process/node/node.go
@@ -140,6 +140,8 @@
 			CallPeer:       node.mesh.CallMember,
 			Feed:           node.relay.Feed,
 			OnSourceChange: node.logSource,
+			OnListing:      node.logListing,
+			OnListed:       node.logListed,
 		}
 		follower.Run(ctx)
 		return nil
@@ -176,6 +178,17 @@
 	node.Log.Info("source of news changed", zap.String("peer", peer), telemetry.Err(cause), zap.Duration("view_age", node.directory.age()))
 }
 
+// logListing logs that all records are about to be listed.
+func (node *Node) logListing(cause error) {
+	node.Log.Info("listing started", telemetry.Err(cause), zap.Duration("view_age", node.directory.age()))
+}
+
+// logListed logs the end of a listing of all records.
+func (node *Node) logListed(listing store.Listing) {
+	node.Log.Info("listing ended", zap.Int("prefixes", listing.Prefixes), zap.Int("items", listing.Items), zap.Duration("took", listing.Took),
+		telemetry.Err(listing.Err), zap.Duration("view_age", node.directory.age()))
+}
+
 // keepRegistered writes the member record under a lease and renews the lease until ctx ends.
 func (node *Node) keepRegistered(ctx context.Context) {
 	written := false
@@ -292,5 +305,8 @@
 // ViewAge returns the largest possible age of the view of the store.
 func (node *Node) ViewAge() time.Duration { return node.directory.age() }
 
+// ViewSource returns what the last update of the view was read from, for logs.
+func (node *Node) ViewSource() (source string) { return node.directory.viewSource() }
+
 // Ready reports whether the process can serve: it has read a configuration and has listed engines and members.
 func (node *Node) Ready() bool { return node.Table() != nil && node.directory.loaded.Load() }
--- a/io/process/telemetry/events.go
+++ b/io/process/telemetry/events.go
@@ -33,6 +33,9 @@
 	{"store access changed", "via_peers", "via_peers is true when store calls are relayed through peers because the store is unreachable from this VM or rejects its calls, and false when direct calls succeed again"},
 	{"source of news changed", "peer error view_age", "peer is the member whose change feed this process reads; empty if it reads the store itself"},
 
+	{"listing started", "error view_age", "this process starts to list all records of the store, because it has just started or because of error"},
+	{"listing ended", "prefixes items took error view_age", "a listing of all records ended; prefixes and items are the numbers of prefixes and records read, and error is set if it failed"},
+
 	{"configuration in force", "version revision routes", "a newer routing table took effect"},
 	{"configuration ignored", "revision error", "the configuration could not be decoded; the previous one stays in force"},
 	{"engine listed", "engine address service draining revision", "an engine was added to the list or its record changed"},
@@ -55,6 +58,7 @@
 	{"broken off", "request route configuration engine attempt events first since_arrival reason", "a response was interrupted after part of it had been sent, and no engine could resume it"},
 
 	{"job accepted", "job items", "the job was written to the store"},
+	{"no results", "job after known items view_age view_source store_asked took outcome", "a call for the results of an unfinished job got none: outcome is an empty page, behind if the view may lack results, or job not found; known is the number of results in the view, and took the time since the call arrived"},
 	{"job claimed", "job owner epoch error", "this worker tried to take over a job whose owner is not live; owner is the former owner, and error is set if the claim failed, for example because another worker claimed the job first"},
 	{"job adopted", "job epoch written items begun", "this worker starts to run a job that it owns; written and begun are the numbers of items with a result and with saved progress"},
 	{"job dropped", "job reason", "this worker no longer runs the job"},
--- a/io/store/follow.go
+++ b/io/store/follow.go
@@ -23,6 +23,15 @@
 	Items    []Item
 	Revision int64
 	AsOf     time.Time // the update reflects the store at this time or later
+	Source   string    // what the update was read from, for logs
+}
+
+// Listing describes one reading of all keys, for logs.
+type Listing struct {
+	Prefixes int // prefixes read completely
+	Items    int // keys read
+	Took     time.Duration
+	Err      error // the store's error that ended the listing early
 }
 
 // Follower lists the keys below some prefixes and then follows their changes. It uses a single watch of the whole store
@@ -44,7 +53,13 @@
 	// OnSourceChange is called when the follower switches to the feed of a peer, or to the store (""). cause is the error
 	// that made it leave a peer's feed. It may be nil.
 	OnSourceChange func(peer string, cause error)
+	// OnListing is called when the follower starts to list all keys; cause is the reason why its changes no longer suffice,
+	// and nil at the start of the process. It may be nil.
+	OnListing func(cause error)
+	// OnListed is called after each listing. It may be nil.
+	OnListed func(Listing)
 
+	relistCause   error     // why all keys have to be listed again
 	source        string    // peer that the last changes came from; empty: the store
 	readerRetryAt time.Time // the store is read directly until then
 }
@@ -119,11 +134,14 @@
 	items, current, err := follower.Store.Watch(ctx, "", revision, follower.Wait)
 	switch {
 	case err == nil && current >= revision:
-		follower.handle(Update{Items: items, Revision: current, AsOf: started})
+		follower.handle(Update{Items: items, Revision: current, AsOf: started, Source: "watch"})
 		return current
 	case err == nil || errors.Is(err, ErrCompacted):
 		// The store has returned to an older revision or has compacted its history, so the watch can't report
 		// which keys were removed.
+		if follower.relistCause = err; err == nil {
+			follower.relistCause = errors.Errorf("the store is at revision %d, behind this process's revision %d", current, revision)
+		}
 		return 0
 	}
 	return revision
@@ -154,7 +172,7 @@
 	case response.Age >= maxFeedAge:
 		return 0, errors.Errorf("feed is stale: %s old", response.Age)
 	}
-	follower.Handle(Update{Items: response.Items, Revision: response.Revision, AsOf: started.Add(response.Waited - response.Age)})
+	follower.Handle(Update{Items: response.Items, Revision: response.Revision, AsOf: started.Add(response.Waited - response.Age), Source: "feed of " + reader})
 	return response.Revision, nil
 }
 
@@ -164,16 +182,27 @@
 		follower.Feed.close()
 	}
 	var asOf time.Time
+	listing := Listing{}
+	if follower.OnListing != nil {
+		follower.OnListing(follower.relistCause)
+	}
+	defer func(started time.Time) {
+		if listing.Took = time.Since(started); follower.OnListed != nil {
+			follower.OnListed(listing)
+		}
+	}(time.Now())
 	for _, prefix := range follower.Prefixes {
 		started := time.Now()
 		items, current, err := follower.Store.ListAll(ctx, prefix)
 		if err != nil {
+			listing.Err = err
 			return 0
 		}
 		if revision == 0 {
 			revision, asOf = current, started
 		}
-		follower.Handle(Update{Reset: true, Prefix: prefix, Items: items, Revision: current, AsOf: started})
+		listing.Prefixes, listing.Items = listing.Prefixes+1, listing.Items+len(items)
+		follower.Handle(Update{Reset: true, Prefix: prefix, Items: items, Revision: current, AsOf: started, Source: "listing of " + prefix})
 	}
 	if follower.Feed != nil {
 		// Peers that have reached this revision can read the feed from here on.
