ingress: a request that ends its engines is quarantined at every process

What callers and engines saw: a request under which three engines had ended was sent to engines again, under each new identifier and at each ingress, and ended all of them; the requests beside it broke off with them.

Cause: ingress processes kept no record of the requests that were at an engine when it ended. A retry left out the engines that this one request had failed at; a repeat under a new identifier, or at another process, started afresh. The processes of the product's own protocol have had such a record all along.

Fix: where an engine breaks off a response, the ingress opens a connection to it. An engine that refuses has ended, and that counts against the request, by the fingerprint of method, host, path and body; one that accepts is alive, and a cut link or a loss of power breaks off nothing. Three ends one after another quarantine the request for ten minutes after the last; a complete run anywhere clears it. Ends are told to all members at once over the connections between them, to each member that connects later, and written to the store after one second, unless the request has been served by then, for processes that start later; they read them before they are ready. A quarantined request is rejected at once with 503, which says that it has not run and will not, and a Retry-After that names the end of the quarantine; one that has run in the same call ends with 502.

--- a/io/port/port.go
+++ b/io/port/port.go
@@ -26,8 +26,8 @@
 	// Classify returns the kind of the record under key, and its name: the key without the prefix of its kind.
 	Classify(key string) (kind RecordKind, name string)
 	// Prefixes returns key prefixes that cover all records, in the order in which to read them. Of the own records, those
-	// whose names start with own come first.
-	Prefixes(own string) (prefixes []string)
+	// whose names start with one of own come first, in that order.
+	Prefixes(own ...string) (prefixes []string)
 	// OwnKey returns the key of the own record called name.
 	OwnKey(name string) (key string)
 	// Configuration decodes a routing table.
--- a/io/process/explain/explain.go
+++ b/io/process/explain/explain.go
@@ -79,7 +79,8 @@
 func (report Report) summarize(lines []Line) string {
 	last := report.Matches[len(report.Matches)-1]
 	for _, line := range slices.Backward(report.Matches) {
-		if line.Event != "job swept" && line.Event != "job ended" {
+		// These lines don't show how it ended, and may follow the one that does.
+		if !slices.Contains([]string{"job swept", "job ended", "engine ended during a request", "request quarantined"}, line.Event) {
 			last = line
 			break
 		}
@@ -100,6 +101,9 @@
 		if last.Text("candidates") != "" {
 			text += fmt.Sprintf(" (candidate engines: %s, waiting requests: %s, time waited: %s)", last.Text("candidates"), last.Text("waiting"), last.Text("waited"))
 		}
+		if last.Text("fingerprint") != "" {
+			text += fmt.Sprintf(" (%s engines, until %s, fingerprint %s)", last.Text("ends"), last.Text("until"), last.Text("fingerprint"))
+		}
 		return text + unsuccessful
 	case "broken off":
 		return fmt.Sprintf("broken off after %s events: %s%s", last.Text("events"), last.Text("reason"), unsuccessful)
--- a/io/process/ingress/online.go
+++ b/io/process/ingress/online.go
@@ -20,6 +20,7 @@
 	"cowslipway/io/port"
 	"cowslipway/io/transport/upstream"
 
+	"cowslipway/io/process/node"
 	"cowslipway/io/process/telemetry"
 )
 
@@ -51,6 +52,9 @@
 // failure of the engine.
 const errQueued = errors.ConstError("the request waited too long in the engine's queue")
 
+// quarantinedReason is the reason for which a request is rejected under which several engines have ended.
+const quarantinedReason = "quarantined, since engines ended while they ran this request"
+
 // outcome is the result of one attempt.
 type outcome uint8
 
@@ -84,10 +88,11 @@
 	connectFailures int      // engines that did not accept a connection
 	excluded        []uint64 // digests of the engines tried
 	mayHaveExecuted bool
-	headerSent      bool   // the caller has been sent status and header
-	streaming       bool   // the response is a stream of events
-	lastEventID     string // ID of the last event sent to the caller
-	events          int    // sent to the caller
+	headerSent      bool                    // the caller has been sent status and header
+	streaming       bool                    // the response is a stream of events
+	lastEventID     string                  // ID of the last event sent to the caller
+	events          int                     // sent to the caller
+	digest          *poisonpill.Fingerprint // nil until fingerprint is called
 	firstEventAt    time.Time
 }
 
@@ -146,8 +151,12 @@
 		defer cancel()
 	}
 	retryAfter, reason := time.Duration(0), ""
-	var fields []zap.Field // of the last placement decision
+	var fields []zap.Field // of the decision not to send the request to an engine
 	for online.attempts < online.route.MaxAttempts && ctx.Err() == nil {
+		if quarantine, ok := online.server.Node.Quarantined(online.fingerprint); ok {
+			retryAfter, reason, fields = time.Until(quarantine.Until), quarantinedReason, online.quarantineFields(quarantine)
+			break
+		}
 		acquireStarted := time.Now()
 		decision, err := online.server.Node.Acquire(ctx, online.placementRequest())
 		waited := time.Since(acquireStarted)
@@ -159,6 +168,11 @@
 			fields = online.decisionFields(decision, waited)
 			break
 		}
+		if quarantine, ok := online.server.Node.Quarantined(online.fingerprint); ok { // since it began to wait for the slot
+			online.server.Node.Release(decision.Engine, false)
+			retryAfter, reason, fields = time.Until(quarantine.Until), quarantinedReason, online.quarantineFields(quarantine)
+			break
+		}
 		online.attempts++
 		online.log("placed", decision.Engine, online.decisionFields(decision, waited)...)
 		result, cause := online.attempt(ctx, decision.Engine)
@@ -169,6 +183,7 @@
 			online.attempts-- // the request was not sent in this attempt
 		}
 		if result == served || result == failureForwarded {
+			online.server.Node.RecordCompletion(online.fingerprint)
 			online.recordOutcome(result.String())
 			return
 		}
@@ -186,7 +201,11 @@
 
 // fingerprint returns the fingerprint of the request.
 func (online *onlineRequest) fingerprint() poisonpill.Fingerprint {
-	return poisonpill.FingerprintOf(online.request.Method, online.request.Host, online.request.RequestURI, online.body)
+	if online.digest == nil {
+		digest := poisonpill.FingerprintOf(online.request.Method, online.request.Host, online.request.RequestURI, online.body)
+		online.digest = &digest
+	}
+	return *online.digest
 }
 
 // fingerprintField returns the log field with the fingerprint of the request after an attempt whose outcome is unknown, and
@@ -213,6 +232,11 @@
 	}
 }
 
+// quarantineFields returns the log fields for the quarantine of the request.
+func (online *onlineRequest) quarantineFields(quarantine poisonpill.Quarantine) []zap.Field {
+	return []zap.Field{zap.Stringer("fingerprint", online.fingerprint()), zap.Int("ends", len(quarantine.Ends)), zap.Time("until", quarantine.Until)}
+}
+
 // placementRequest returns the request for a slot at the next engine. Its deadline leaves time for the first event, or for
 // the next one of a stream that has begun.
 func (online *onlineRequest) placementRequest() placement.Request {
@@ -238,7 +262,7 @@
 	case online.mayHaveExecuted && ctx.Err() != nil:
 		online.server.reject(online.writer, online.call, http.StatusGatewayTimeout, 0, "time is up; the request may have run")
 	case online.mayHaveExecuted:
-		online.server.reject(online.writer, online.call, http.StatusBadGateway, 0, "the request may have run: "+reason)
+		online.server.reject(online.writer, online.call, http.StatusBadGateway, 0, "the request may have run: "+reason, decisionFields...)
 	default:
 		if reason == "" {
 			reason = "time is up"
@@ -260,6 +284,7 @@
 	if !online.deadline.IsZero() {
 		remaining = time.Until(online.deadline)
 	}
+	sent := time.Now()
 	exchange, err := node.Upstream.Send(ctx, upstream.Request{
 		Address: engine.Address,
 		Method:  online.request.Method,
@@ -274,6 +299,7 @@
 		if errors.Is(err, upstream.ErrNotSent) {
 			return notExecuted, err
 		}
+		online.checkEngineEnd(ctx, engine, sent)
 		return unknown, err
 	}
 	defer exchange.Abort()
@@ -307,6 +333,7 @@
 	}
 	if err != nil {
 		online.reportFailure(ctx, engine)
+		online.checkEngineEnd(ctx, engine, sent)
 		return unknown, err
 	}
 	exchange.Release()
@@ -347,6 +374,13 @@
 	online.server.Node.RecordFailure(engine)
 }
 
+// checkEngineEnd finds out whether engine has ended under the request, unless this process or the caller ended the attempt.
+func (online *onlineRequest) checkEngineEnd(ctx context.Context, engine fleet.Engine, sent time.Time) {
+	if ctx.Err() == nil {
+		online.server.Node.CheckEngineEnd(ctx, node.EngineRun{Engine: engine, RequestID: online.call.RequestID, Fingerprint: online.fingerprint(), Sent: sent})
+	}
+}
+
 // watchdog cancels an attempt whose engine sends nothing within the idle timeout, where another engine may resume the
 // stream. Without a timer it does nothing.
 type watchdog struct {
--- a/io/process/node/directory.go
+++ b/io/process/node/directory.go
@@ -31,7 +31,7 @@
 type directory struct {
 	node  *Node
 	table atomic.Pointer[routes.Table]
-	// loaded is set once engines and members have been listed; members are listed after engines.
+	// loaded is set once engines, suspicions and members have been listed; members are listed last.
 	loaded atomic.Bool
 
 	mutex          sync.Mutex
@@ -104,6 +104,10 @@
 			if id, ok := strings.CutPrefix(name, memberPrefix); ok {
 				directory.applyMember(id, item)
 				membersChanged = true
+			} else if strings.HasPrefix(name, suspicionPrefix) {
+				if err := directory.node.quarantine.applyRecord(item); err != nil {
+					directory.node.Log.Warn("suspicion ignored", zap.String("key", item.Key), telemetry.Err(err))
+				}
 			} else if err := directory.jobs.Apply(name, item.Value, item.Revision, item.Deleted); err != nil {
 				directory.node.Log.Warn("batch record ignored", zap.String("key", item.Key), telemetry.Err(err))
 			}
--- a/io/process/node/node.go
+++ b/io/process/node/node.go
@@ -65,6 +65,8 @@
 	relay     *store.Relay
 	mesh      *member.Mesh
 	directory directory
+	// quarantine holds the requests under which engines ended.
+	quarantine quarantine
 
 	tickDelay      atomic.Int64  // nanoseconds by which the last tick was late
 	leaseRenewedAt atomic.Int64  // Unix nanoseconds of the last renewal
@@ -101,12 +103,13 @@
 	node.Store = &store.Store{Driver: node.relay, Timeout: storeTimeout, OnAvailabilityChange: node.storeAvailabilityChanged, OnCall: countStoreCall}
 	node.Upstream = &upstream.Pool{DialTimeout: dialTimeout, Engines: node.Engines}
 	node.mesh = &member.Mesh{Self: node.self, Identity: identity, Log: node.Log, OnCounts: node.applyCounts, OnLoadReport: node.applyLoadReport}
-	node.relay.CallPeer, node.mesh.ServeCall = node.mesh.CallAny, node.relay.Serve
+	node.relay.CallPeer, node.mesh.ServeCall, node.mesh.OnConnect = node.mesh.CallAny, node.serveCall, node.greet
 	node.pool.Self = node.self.ID()
 	node.pool.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	node.tickets = map[int]chan placement.Decision{}
 	node.reregister = make(chan struct{}, 1)
 	node.directory.init(node)
+	node.quarantine.init(node)
 	node.setGauges()
 	return nil
 }
@@ -132,7 +135,7 @@
 	group.Go(func() error {
 		follower := &store.Follower{
 			Store:          node.Store,
-			Prefixes:       node.Records.Prefixes(memberPrefix),
+			Prefixes:       node.Records.Prefixes(suspicionPrefix, memberPrefix),
 			Pace:           followPace,
 			Wait:           followWait,
 			Handle:         node.directory.apply,
@@ -146,6 +149,10 @@
 		follower.Run(ctx)
 		return nil
 	})
+	group.Go(func() error {
+		node.quarantine.run(ctx)
+		return nil
+	})
 	group.Go(func() error {
 		node.tick(ctx)
 		return nil
--- a/io/process/telemetry/events.go
+++ b/io/process/telemetry/events.go
@@ -51,9 +51,18 @@
 	{"counts left out of a message", "left", "the load counts did not fit into a datagram; left is the number of entries omitted"},
 	{"engine report", "reachable error", "the engine on this VM became reachable or unreachable for the reporter"},
 
+	{"engine ended during a request", "engine request fingerprint ran error", "an engine broke off its response and accepts no connections; this counts against the request; error is why no connection was opened"},
+	{"request quarantined", "fingerprint request engines until", "engines ended under the request one after another, as this process has seen or been told; it is not sent to engines until then"},
+	{"quarantine lifted", "fingerprint reason ends", "a quarantined request may run again; ends is the number of engine ends that no longer count"},
+	{"suspicion ignored", "key error", "the record of an engine's end or of a clearance could not be decoded"},
+	{"suspicions of a member could not be read", "error", "a message about requests under which engines ended could not be decoded and was ignored"},
+	{"suspicions could not be encoded", "error", "a message about requests under which engines ended could not be encoded; this is a bug"},
+	{"member not told of suspicions", "member error", "telling a peer of requests under which engines ended failed; it reads them from the store, or is told when it connects again"},
+	{"suspicions not written yet", "writes error", "writing requests under which engines ended to the store failed; it is retried"},
+
 	{"placed", "request route configuration engine attempt urgent load candidates waiting waited view_age events first since_arrival", "an online request is about to be sent to an engine; urgent to view_age describe the placement decision"},
 	{"attempt", "request route configuration engine attempt outcome cause fingerprint events first since_arrival", "an attempt at an engine ended; fingerprint identifies the request by its content, whatever its identifier, and is set if the outcome is unknown"},
-	{"refused", "request job status retry_after reason urgent load candidates waiting waited view_age", "a call ended with an error status: it was rejected, or its attempts failed"},
+	{"refused", "request job status retry_after reason urgent load candidates waiting waited view_age fingerprint ends until", "a call ended with an error status: it was rejected, or its attempts failed; fingerprint, ends and until describe its quarantine if it is quarantined"},
 	{"caller gone", "request route configuration engine attempt events first since_arrival", "the caller disconnected before the response was complete"},
 	{"broken off", "request route configuration engine attempt events first since_arrival reason", "a response was interrupted after part of it had been sent, and no engine could resume it"},
 
--- a/io/protocol/member/mesh.go
+++ b/io/protocol/member/mesh.go
@@ -33,6 +33,9 @@
 	OnCounts func(peer string, counts []placement.Counts)
 	// ServeCall executes a relayed call for a peer. It may be nil.
 	ServeCall func(ctx context.Context, request []byte) (response []byte)
+	// OnConnect is called, in a goroutine of its own, when a connection to a member that is not a reporter is open. It may be
+	// nil.
+	OnConnect func(ctx context.Context, memberID string)
 	// OnLoadReport is called with the numbers of running and waiting requests at the engine with the given address, as
 	// reported by the reporter on its VM.
 	OnLoadReport func(engine string, running, waiting int)
@@ -202,6 +205,9 @@
 	mesh.mutex.Unlock()
 	mesh.Log.Info("member connected", zap.String("member", memberID))
 	go mesh.serveCalls(conn)
+	if mesh.OnConnect != nil && peer.Role != fleet.ReporterRole && mesh.Self.Role != fleet.ReporterRole {
+		go mesh.OnConnect(mesh.ctx, memberID)
+	}
 	newest := uint64(0)
 	for {
 		data, err := conn.ReceiveDatagram(mesh.ctx)
@@ -307,6 +313,18 @@
 	send(conns, EncodeLoadReport(sequence, running, waiting))
 }
 
+// Connected returns the IDs of the connected members, without reporters.
+func (mesh *Mesh) Connected() (memberIDs []string) {
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	for memberID := range mesh.conns {
+		if mesh.members[memberID].Role != fleet.ReporterRole {
+			memberIDs = append(memberIDs, memberID)
+		}
+	}
+	return memberIDs
+}
+
 // nextMessage returns the sequence number of the next message and the connections to the given members, or to all
 // members if memberIDs is nil. Reporters are left out. The caller holds mesh.mutex.
 func (mesh *Mesh) nextMessage(memberIDs []string) (sequence uint64, conns []*quic.Conn) {
--- a/io/transport/upstream/pool.go
+++ b/io/transport/upstream/pool.go
@@ -182,6 +182,11 @@
 		}
 		_ = found.Close()
 	}
+	return pool.dial(ctx, address)
+}
+
+// dial opens a new connection to address.
+func (pool *Pool) dial(ctx context.Context, address string) (opened *connection, err error) {
 	dialer := net.Dialer{Timeout: pool.DialTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
@@ -192,6 +197,18 @@
 	return &connection{Conn: conn, reader: reader, address: address}, nil
 }
 
+// Dial opens a new connection to the engine at address and keeps it for reuse. It fails if the engine does not accept one.
+func (pool *Pool) Dial(ctx context.Context, address string) (err error) {
+	defer func() { err = errors.Annotatef(err, "connecting to engine %s", address) }()
+	opened, err := pool.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	opened.idleLimit = defaultIdleLimit
+	pool.putIdle(opened)
+	return nil
+}
+
 // takeIdle removes an idle connection from the pool and returns it, or nil if there is none. It closes expired connections.
 func (pool *Pool) takeIdle(address string) (found *connection) {
 	pool.mutex.Lock()
