store: an unfinished listing no longer renews the age of the view

Callers got a page without results at a position whose result they had read elsewhere more than a second before.

Cause: a follower that lists the keys again passes on one update for each prefix, and each set the time that the whole view reflects. With the configuration, engines and members just listed, the ingress took its view for a fraction of a second old, although the batch jobs, which come last, were those of before the listing, and answered without a call to the store. A listing that fails at the batch jobs starts over after 400 ms, so that the state could last as long as the fault.

Now the updates of a listing keep the time that the view reflected before; the last one sets it to the start of the listing. No call to the store is added while listings succeed; while one is under way, a call for results that are not there costs one read.

Evidence: TestSharedStorePath/interrupted_listing (an ingress is paused, its job finishes and is read at another one, then it lists the store and gets no response below the batch jobs) failed before: pages without results with a view "345 ms to 600 ms" old, last read from "listing of cowslipway/members/". TestViewAge/listing failed before: the view was dated at 0.83 s and 1.84 s while the second prefix had last been read at 0.03 s.

--- a/io/store/follow.go
+++ b/io/store/follow.go
@@ -16,14 +16,17 @@
 	readerRetryDelay = 3 * time.Second
 )
 
-// Update holds changes of keys, or a listing of all keys below a prefix.
+// Update holds changes of keys, or a listing of all keys below a prefix. A view of the store consists of all updates handled
+// so far.
 type Update struct {
 	Reset    bool   // Items are all keys that exist below Prefix; any other key below it has been removed
 	Prefix   string // set if Reset is
 	Items    []Item
 	Revision int64
-	AsOf     time.Time // the update reflects the store at this time or later
-	Source   string    // what the update was read from, for logs
+	// AsOf is a time such that each part of the view reflects the store at this time or later. While the keys are being
+	// listed, some parts are newer than others, and AsOf does not change until the last prefix.
+	AsOf   time.Time
+	Source string // what the update was read from, for logs
 }
 
 // Listing describes one reading of all keys, for logs.
@@ -59,6 +62,7 @@
 	// OnListed is called after each listing. It may be nil.
 	OnListed func(Listing)
 
+	asOf          time.Time // Update.AsOf of the last update
 	relistCause   error     // why all keys have to be listed again
 	source        string    // peer that the last changes came from; empty: the store
 	readerRetryAt time.Time // the store is read directly until then
@@ -119,9 +123,15 @@
 	}
 }
 
+// update passes an update to Handle.
+func (follower *Follower) update(update Update) {
+	follower.asOf = update.AsOf
+	follower.Handle(update)
+}
+
 // handle passes an update read from the store to Handle and to the change feed.
 func (follower *Follower) handle(update Update) {
-	follower.Handle(update)
+	follower.update(update)
 	if follower.Feed != nil {
 		follower.Feed.add(update)
 	}
@@ -172,7 +182,7 @@
 	case response.Age >= maxFeedAge:
 		return 0, errors.Errorf("feed is stale: %s old", response.Age)
 	}
-	follower.Handle(Update{Items: response.Items, Revision: response.Revision, AsOf: started.Add(response.Waited - response.Age), Source: "feed of " + reader})
+	follower.update(Update{Items: response.Items, Revision: response.Revision, AsOf: started.Add(response.Waited - response.Age), Source: "feed of " + reader})
 	return response.Revision, nil
 }
 
@@ -191,7 +201,7 @@
 			follower.OnListed(listing)
 		}
 	}(time.Now())
-	for _, prefix := range follower.Prefixes {
+	for number, prefix := range follower.Prefixes {
 		started := time.Now()
 		items, current, err := follower.Store.ListAll(ctx, prefix)
 		if err != nil {
@@ -202,7 +212,11 @@
 			revision, asOf = current, started
 		}
 		listing.Prefixes, listing.Items = listing.Prefixes+1, listing.Items+len(items)
-		follower.Handle(Update{Reset: true, Prefix: prefix, Items: items, Revision: current, AsOf: started, Source: "listing of " + prefix})
+		update := Update{Reset: true, Prefix: prefix, Items: items, Revision: current, AsOf: follower.asOf, Source: "listing of " + prefix}
+		if number == len(follower.Prefixes)-1 {
+			update.AsOf = asOf
+		}
+		follower.update(update)
 	}
 	if follower.Feed != nil {
 		// Peers that have reached this revision can read the feed from here on.
