ingress: take results together with the age that vouches for them

Callers could get a page without results at a position whose result they had read elsewhere more than a second before, in two ways:

- The ingress read the results first and the age of the view when the caller's wait had ended.
An update between the two made the older results pass for current ones.
- A response of the store that there are no further results counted whenever it arrived, also long after the store had read them, for example at an ingress that was suspended meanwhile.

Node.JobView now returns the results and the time that they reflect as one value. The ingress reads it once more when the wait has ended, so that results of a last update are served, and compares its age, or that of the call to the store, with the limit after the page is encoded, right before it is written. If neither is new enough, it answers 503. The number of calls to the store is unchanged.

FollowStore is split off Run, so that tests follow a store without peers.

--- a/io/process/ingress/jobs.go
+++ b/io/process/ingress/jobs.go
@@ -14,6 +14,7 @@
 	"cowslipway/core/state/jobrecord"
 	"cowslipway/core/state/routes"
 	"cowslipway/io/port"
+	"cowslipway/io/process/node"
 	"cowslipway/io/store"
 )
 
@@ -126,7 +127,7 @@
 
 // findJob returns the view of a job. While the view lacks the job, it waits for changes and then reads the store to
 // find out whether the job exists. A status other than 0 is the HTTP status with which to reject the call.
-func (server *Server) findJob(ctx context.Context, id string) (view jobrecord.View, status int) {
+func (server *Server) findJob(ctx context.Context, id string) (view node.JobView, status int) {
 	deadline := time.Now().Add(viewTimeout)
 	checked := false // the store was read to find out whether the job exists
 	for {
@@ -183,42 +184,13 @@
 	ctx, arrived := request.Context(), time.Now()
 	view, status := server.findJob(ctx, call.JobID)
 	if status != 0 {
-		server.logNoResults(call, view, server.Node.ViewAge(), true, arrived, "job not found")
+		server.logNoResults(call, view, true, arrived, "job not found")
 		server.rejectJob(writer, call, status)
 		return
 	}
-	timer := time.NewTimer(call.Wait)
-	defer timer.Stop()
-	waiting := call.Wait > 0
-	for len(view.Results) <= call.After && len(view.Results) < len(view.Job.Items) && waiting {
-		latest, _, changed := server.Node.JobView(call.JobID)
-		if len(latest.Results) > len(view.Results) {
-			view = latest
-			continue
-		}
-		select {
-		case <-changed:
-		case <-timer.C:
-			waiting = false
-		case <-ctx.Done():
-			panic(http.ErrAbortHandler)
-		}
-	}
-	viewBehind := len(view.Results) < call.After
-	unfinished := len(view.Results) < len(view.Job.Items)
-	viewAge := server.Node.ViewAge()
-	empty := len(view.Results) == call.After && unfinished
-	askStore := empty && viewAge > maxViewAge
-	if viewBehind || askStore && !server.isCurrent(ctx, view) {
-		server.logNoResults(call, view, viewAge, askStore, arrived, "behind")
-		server.reject(writer, call, http.StatusServiceUnavailable, notReadyRetryAfter, "results may exist that are not known here yet")
-		return
-	}
-	if empty {
-		server.logNoResults(call, view, viewAge, askStore, arrived, "empty page")
-	}
+	view = server.awaitResults(ctx, call, view)
 	page, size := []jobrecord.Result{}, 0
-	for _, result := range view.Results[call.After:] {
+	for _, result := range view.Results[min(call.After, len(view.Results)):] {
 		if size += len(result.Text); size > maxPageBytes && len(page) > 0 {
 			break
 		}
@@ -229,18 +201,67 @@
 		server.reject(writer, call, http.StatusInternalServerError, 0, err.Error())
 		return
 	}
+	if len(page) == 0 && (call.After > len(view.Results) || !hasAllResults(view)) {
+		vouched, storeAsked := server.vouchNoResults(ctx, call, view)
+		if !vouched {
+			server.logNoResults(call, view, storeAsked, arrived, "behind")
+			server.reject(writer, call, http.StatusServiceUnavailable, notReadyRetryAfter, "results may exist that are not known here yet")
+			return
+		}
+		server.logNoResults(call, view, storeAsked, arrived, "empty page")
+	}
 	writer.Header().Set("Content-Type", "application/json")
 	_, _ = writer.Write(body) // a caller that has disconnected repeats the call
 }
 
+// hasAllResults reports whether view has a result for each item of its job.
+func hasAllResults(view node.JobView) bool { return len(view.Results) >= len(view.Job.Items) }
+
+// awaitResults waits up to call.Wait for results after position call.After, and returns the view that has them or else the
+// latest view. It aborts the response if ctx ends.
+func (server *Server) awaitResults(ctx context.Context, call port.Call, view node.JobView) (latest node.JobView) {
+	timer := time.NewTimer(call.Wait)
+	defer timer.Stop()
+	for waiting := call.Wait > 0; ; {
+		current, _, changed := server.Node.JobView(call.JobID)
+		if current.Job != nil && len(current.Results) >= len(view.Results) { // otherwise the job's records are being removed
+			view = current
+		}
+		if !waiting || len(view.Results) > call.After || hasAllResults(view) {
+			return view
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			waiting = false
+		case <-ctx.Done():
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+// vouchNoResults reports whether it is certain that no result after position call.After could be read anywhere until
+// maxViewAge ago: either view is newer than that, or the store says so.
+func (server *Server) vouchNoResults(ctx context.Context, call port.Call, view node.JobView) (vouched, storeAsked bool) {
+	if len(view.Results) < call.After {
+		return false, false // the caller has read results that view lacks
+	}
+	if time.Since(view.AsOf) <= maxViewAge {
+		return true, false
+	}
+	asked := time.Now()
+	// The response may arrive late, for example if this process was suspended meanwhile.
+	return server.isCurrent(ctx, view.View) && time.Since(asked) <= maxViewAge, true
+}
+
 // logNoResults logs that a call for results gets none.
-func (server *Server) logNoResults(call port.Call, view jobrecord.View, viewAge time.Duration, storeAsked bool, arrived time.Time, outcome string) {
+func (server *Server) logNoResults(call port.Call, view node.JobView, storeAsked bool, arrived time.Time, outcome string) {
 	items := 0
 	if view.Job != nil {
 		items = len(view.Job.Items)
 	}
 	server.Log.Info("no results", zap.String("job", call.JobID), zap.Int("after", call.After), zap.Int("known", len(view.Results)), zap.Int("items", items),
-		zap.Duration("view_age", viewAge), zap.String("view_source", server.Node.ViewSource()), zap.Bool("store_asked", storeAsked),
+		zap.Duration("view_age", time.Since(view.AsOf)), zap.String("view_source", view.Source), zap.Bool("store_asked", storeAsked),
 		zap.Duration("took", time.Since(arrived)), zap.String("outcome", outcome))
 }
 
--- a/io/process/node/directory.go
+++ b/io/process/node/directory.go
@@ -72,13 +72,6 @@
 	return time.Since(directory.asOf)
 }
 
-// viewSource returns what the last update of the view was read from.
-func (directory *directory) viewSource() (source string) {
-	directory.mutex.Lock()
-	defer directory.mutex.Unlock()
-	return directory.source
-}
-
 // apply updates the view with an update from the store.
 func (directory *directory) apply(update store.Update) {
 	directory.mutex.Lock()
@@ -289,12 +282,20 @@
 	return members
 }
 
+// JobView is the view of a batch job at one moment.
+type JobView struct {
+	jobrecord.View
+
+	AsOf   time.Time // the view reflects the store at this time or later
+	Source string    // what the last update was read from, for logs
+}
+
 // jobView returns the view of a batch job, and a channel that is closed at the next change of any record.
-func (directory *directory) jobView(id string) (view jobrecord.View, ok bool, changed <-chan struct{}) {
+func (directory *directory) jobView(id string) (view JobView, ok bool, changed <-chan struct{}) {
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
-	view, ok = directory.jobs.Get(id)
-	return view, ok, directory.changed
+	cached, ok := directory.jobs.Get(id)
+	return JobView{View: cached, AsOf: directory.asOf, Source: directory.source}, ok, directory.changed
 }
 
 // eachJob calls visit for each known batch job until visit returns false. visit must not block.
--- a/io/process/node/node.go
+++ b/io/process/node/node.go
@@ -133,20 +133,7 @@
 		return group.Wait() // a reporter needs no view of the store
 	}
 	group.Go(func() error {
-		follower := &store.Follower{
-			Store:          node.Store,
-			Prefixes:       node.Records.Prefixes(suspicionPrefix, memberPrefix),
-			Pace:           followPace,
-			Wait:           followWait,
-			Handle:         node.directory.apply,
-			FindReader:     node.findReader,
-			CallPeer:       node.mesh.CallMember,
-			Feed:           node.relay.Feed,
-			OnSourceChange: node.logSource,
-			OnListing:      node.logListing,
-			OnListed:       node.logListed,
-		}
-		follower.Run(ctx)
+		node.FollowStore(ctx)
 		return nil
 	})
 	group.Go(func() error {
@@ -160,6 +147,24 @@
 	return group.Wait()
 }
 
+// FollowStore keeps the view of the store current until ctx ends. Run calls it.
+func (node *Node) FollowStore(ctx context.Context) {
+	follower := &store.Follower{
+		Store:          node.Store,
+		Prefixes:       node.Records.Prefixes(suspicionPrefix, memberPrefix),
+		Pace:           followPace,
+		Wait:           followWait,
+		Handle:         node.directory.apply,
+		FindReader:     node.findReader,
+		CallPeer:       node.mesh.CallMember,
+		Feed:           node.relay.Feed,
+		OnSourceChange: node.logSource,
+		OnListing:      node.logListing,
+		OnListed:       node.logListed,
+	}
+	follower.Run(ctx)
+}
+
 // storeAvailabilityChanged records and logs that the store became reachable or unreachable.
 func (node *Node) storeAvailabilityChanged(reachable bool) {
 	if reachable {
@@ -297,7 +302,7 @@
 func (node *Node) Members(role fleet.Role) []fleet.Member { return node.directory.membersOf(role) }
 
 // JobView returns the view of a batch job, and a channel that is closed at the next change of any record of the store.
-func (node *Node) JobView(id string) (view jobrecord.View, ok bool, changed <-chan struct{}) {
+func (node *Node) JobView(id string) (view JobView, ok bool, changed <-chan struct{}) {
 	return node.directory.jobView(id)
 }
 
@@ -309,11 +314,9 @@
 // RetiringVMs returns the names of the VMs that are to be emptied, sorted.
 func (node *Node) RetiringVMs() []string { return node.directory.retiringVMs() }
 
-// ViewAge returns the largest possible age of the view of the store.
+// ViewAge returns the largest possible age of the view of the store, for logs. What a view vouches for depends on the AsOf
+// that was read together with it.
 func (node *Node) ViewAge() time.Duration { return node.directory.age() }
 
-// ViewSource returns what the last update of the view was read from, for logs.
-func (node *Node) ViewSource() (source string) { return node.directory.viewSource() }
-
 // Ready reports whether the process can serve: it has read a configuration and has listed engines and members.
 func (node *Node) Ready() bool { return node.Table() != nil && node.directory.loaded.Load() }
--- a/io/process/worker/worker.go
+++ b/io/process/worker/worker.go
@@ -240,7 +240,7 @@
 		worker.actions <- func() {
 			delete(worker.claiming, id)
 			if latest, ok, _ := worker.Node.JobView(id); ok && latest.Ownership.Epoch == view.Ownership.Epoch && worker.runner.Epoch(id) == 0 {
-				worker.adopt(table, latest, progress)
+				worker.adopt(table, latest.View, progress)
 			}
 		}
 	}()
