store: date the view back when the store has discarded its history

The store may report no changes for a second before it discards its history.

When a watch fails because the history is gone, or because the store is at an older revision, the follower now dates the view back by that second, and closes its change feed at once instead of at the start of the listing, up to 400 ms later.

--- a/io/store/follow.go
+++ b/io/store/follow.go
@@ -14,6 +14,8 @@
 	// readerRetryDelay is how long this process reads the store itself after its reader has failed. A crashed reader's
 	// lease, of 3 s, ends meanwhile, and another reader takes its place.
 	readerRetryDelay = 3 * time.Second
+	// maxSilence is how long the store may report no changes before it discards its history.
+	maxSilence = time.Second
 )
 
 // Update holds changes of keys, or a listing of all keys below a prefix. A view of the store consists of all updates handled
@@ -152,11 +154,20 @@
 		if follower.relistCause = err; err == nil {
 			follower.relistCause = errors.Errorf("the store is at revision %d, behind this process's revision %d", current, revision)
 		}
+		follower.distrust()
 		return 0
 	}
 	return revision
 }
 
+// distrust dates the view back and closes the change feed, since the last watches may have missed changes.
+func (follower *Follower) distrust() {
+	if follower.Feed != nil {
+		follower.Feed.close()
+	}
+	follower.update(Update{AsOf: follower.asOf.Add(-maxSilence), Source: "discarded history"})
+}
+
 // pollReader handles the changes after revision in the change feed of a reader, and returns the reader's revision. The
 // response's Age counts back from the time of the response, which is no earlier than the start of the call plus Waited.
 // AsOf is therefore the start of the call plus Waited minus Age.
