node: the end of an engine is also counted when it shows a moment later

What was seen: beside two more runs of the suite, TestSharedStorePath/ engine_crashing_request once counted 4 engines that a request had ended, and engine_crashing_item 4, where 3 are allowed.

Cause: after a response had broken off, the engine's listening socket, which was about to close, still accepted the one connection that the process made, so that the engine was taken to be alive. An engine that a supervisor starts again at once is missed in the same way.

Fix: a run without events is checked once more after 100 ms, and any run counts if a later incarnation is listed at the engine's address within 10 s. A peer that could not be told is told again, three times in all: with the store away, nothing else tells it.

Evidence: TestSharedStorePath/engine_crashing_back_at_once, in which each engine is back at once, timed out without the two checks ("timed out waiting for i1 to know quarantined requests") and passes with them.

--- a/io/process/ingress/online.go
+++ b/io/process/ingress/online.go
@@ -284,7 +284,7 @@
 	if !online.deadline.IsZero() {
 		remaining = time.Until(online.deadline)
 	}
-	sent := time.Now()
+	sent, eventsBefore := time.Now(), online.events
 	exchange, err := node.Upstream.Send(ctx, upstream.Request{
 		Address: engine.Address,
 		Method:  online.request.Method,
@@ -299,7 +299,7 @@
 		if errors.Is(err, upstream.ErrNotSent) {
 			return notExecuted, err
 		}
-		online.checkEngineEnd(ctx, engine, sent)
+		online.checkEngineEnd(ctx, engine, sent, eventsBefore)
 		return unknown, err
 	}
 	defer exchange.Abort()
@@ -333,7 +333,7 @@
 	}
 	if err != nil {
 		online.reportFailure(ctx, engine)
-		online.checkEngineEnd(ctx, engine, sent)
+		online.checkEngineEnd(ctx, engine, sent, eventsBefore)
 		return unknown, err
 	}
 	exchange.Release()
@@ -375,9 +375,10 @@
 }
 
 // checkEngineEnd finds out whether engine has ended under the request, unless this process or the caller ended the attempt.
-func (online *onlineRequest) checkEngineEnd(ctx context.Context, engine fleet.Engine, sent time.Time) {
+// eventsBefore is the number of events sent to the caller before the attempt.
+func (online *onlineRequest) checkEngineEnd(ctx context.Context, engine fleet.Engine, sent time.Time, eventsBefore int) {
 	if ctx.Err() == nil {
-		online.server.Node.CheckEngineEnd(ctx, node.EngineRun{Engine: engine, RequestID: online.call.RequestID, Fingerprint: online.fingerprint(), Sent: sent})
+		online.server.Node.CheckEngineEnd(ctx, node.EngineRun{Engine: engine, RequestID: online.call.RequestID, Fingerprint: online.fingerprint(), Sent: sent, Events: online.events - eventsBefore})
 	}
 }
 
--- a/io/process/node/directory.go
+++ b/io/process/node/directory.go
@@ -186,6 +186,7 @@
 		directory.node.Log.Info("engine listed", zap.String("engine", engine.Incarnation()), zap.String("address", engine.Address),
 			zap.String("service", engine.Service), zap.Bool("draining", engine.Draining), zap.Int64("revision", item.Revision))
 	}
+	directory.node.quarantine.engineListed(engine)
 	engine.ListedRevision = item.Revision
 	if ok && known.Incarnation() == engine.Incarnation() {
 		engine.ListedRevision = known.ListedRevision
--- a/io/process/node/quarantine.go
+++ b/io/process/node/quarantine.go
@@ -33,7 +33,16 @@
 	// served by the next engine within that time, and then cost no write.
 	saveDelay      = time.Second
 	saveRetryDelay = 500 * time.Millisecond
-	shareTimeout   = time.Second // limits telling one peer
+	// recheckDelay is the time after which an engine that accepted a connection is tried again: connections to a process that
+	// is ending may still be accepted before its listening socket is closed.
+	recheckDelay = 100 * time.Millisecond
+	// confirmWithin is the time in which an engine that has ended is back and listed as a new incarnation.
+	confirmWithin = 10 * time.Second
+	maxBrokenRuns = 256         // runs for which the end of their engine may still be confirmed
+	shareTimeout  = time.Second // of one attempt to tell a peer
+	shareAttempts = 3           // a peer that was not told by then reads the store
+	// sweepAfter is the age of the records of suspicions that are removed from the store: clocks of VMs differ by up to 5 s.
+	sweepAfter = poisonpill.EndLifetime + 10*time.Second
 )
 
 // EngineRun is a run of a request at an engine.
@@ -42,6 +51,14 @@
 	RequestID   string
 	Fingerprint poisonpill.Fingerprint
 	Sent        time.Time
+	Events      int // received from the engine
+}
+
+// brokenRun is a run that its engine broke off.
+type brokenRun struct {
+	EngineRun
+
+	at time.Time
 }
 
 // suspicions is what members tell each other about requests under which engines ended.
@@ -58,6 +75,7 @@
 
 	mutex      sync.Mutex
 	ledger     poisonpill.Ledger
+	broken     []brokenRun                    // whose engines still accepted connections, oldest first
 	announced  map[poisonpill.Fingerprint]int // number of ends for which a quarantine was logged
 	unshared   suspicions                     // to be told to the peers
 	unsaved    []poisonpill.EngineEnd         // to be written to the store, oldest first
@@ -86,29 +104,82 @@
 }
 
 // CheckEngineEnd finds out whether an engine that broke off its response to a request has ended, and if so counts that
-// against the request. An engine that accepts a connection has not ended.
+// against the request. An engine that accepts a connection is taken to be alive, unless it refuses one a moment later, or a new
+// incarnation is listed at its address soon after.
 func (node *Node) CheckEngineEnd(ctx context.Context, run EngineRun) {
-	brokenAt := time.Now()
-	refusal := node.Upstream.Dial(ctx, run.Engine.Address)
-	if refusal == nil || ctx.Err() != nil {
-		telemetry.EngineChecks.Add("alive", 1)
+	broken := brokenRun{EngineRun: run, at: time.Now()}
+	if err := node.Upstream.Dial(ctx, run.Engine.Address); err != nil {
+		if ctx.Err() == nil {
+			node.quarantine.recordEnd(broken, err.Error())
+		}
 		return
 	}
-	telemetry.EngineChecks.Add("ended", 1)
-	end := poisonpill.EngineEnd{
-		Fingerprint: run.Fingerprint, Engine: run.Engine.Incarnation(), Request: run.RequestID, Process: node.self.Name, Sent: run.Sent, Ended: brokenAt,
+	telemetry.EngineChecks.Add("accepted", 1)
+	node.quarantine.awaitEnd(broken)
+	if run.Events > 0 {
+		return // an engine that a request ends has seldom sent an event by then
 	}
-	quarantine := &node.quarantine
+	time.AfterFunc(recheckDelay, func() {
+		if err := node.Upstream.Dial(context.WithoutCancel(ctx), run.Engine.Address); err != nil {
+			node.quarantine.confirmEnds(err.Error(), func(other brokenRun) bool { return other == broken })
+		}
+	})
+}
+
+// engineListed counts runs that the engine at the address of listed broke off lately, if listed is a later incarnation.
+func (quarantine *quarantine) engineListed(listed fleet.Engine) {
+	quarantine.confirmEnds("a new incarnation is listed", func(broken brokenRun) bool {
+		return broken.Engine.Address == listed.Address && broken.Engine.Incarnation() != listed.Incarnation()
+	})
+}
+
+// awaitEnd keeps a run for confirmEnds.
+func (quarantine *quarantine) awaitEnd(broken brokenRun) {
 	quarantine.mutex.Lock()
-	if quarantine.add(end) {
-		quarantine.unshared.Ends = append(quarantine.unshared.Ends, end)
-		if quarantine.unsaved = append(quarantine.unsaved, end); len(quarantine.unsaved) > maxUnsavedEnds {
-			quarantine.unsaved = quarantine.unsaved[1:]
+	defer quarantine.mutex.Unlock()
+	if quarantine.broken = append(quarantine.broken, broken); len(quarantine.broken) > maxBrokenRuns {
+		quarantine.broken = quarantine.broken[1:]
+	}
+}
+
+// confirmEnds counts the ends of the engines of the runs that awaitEnd keeps and for which ended returns true.
+func (quarantine *quarantine) confirmEnds(reason string, ended func(broken brokenRun) bool) {
+	quarantine.mutex.Lock()
+	var confirmed, rest []brokenRun
+	for _, broken := range quarantine.broken {
+		switch {
+		case time.Since(broken.at) > confirmWithin:
+		case ended(broken):
+			confirmed = append(confirmed, broken)
+		default:
+			rest = append(rest, broken)
 		}
 	}
+	quarantine.broken = rest
 	quarantine.mutex.Unlock()
-	node.Log.Info("engine ended during a request", zap.String("engine", run.Engine.ID), zap.String("request", run.RequestID),
-		zap.Stringer("fingerprint", run.Fingerprint), zap.Duration("ran", brokenAt.Sub(run.Sent)), telemetry.Err(refusal))
+	for _, broken := range confirmed {
+		quarantine.recordEnd(broken, reason)
+	}
+}
+
+// recordEnd counts the end of an engine against the request of a run, and has it told to the other members.
+func (quarantine *quarantine) recordEnd(broken brokenRun, reason string) {
+	telemetry.EngineChecks.Add("ended", 1)
+	node := quarantine.node
+	end := poisonpill.EngineEnd{
+		Fingerprint: broken.Fingerprint, Engine: broken.Engine.Incarnation(), Request: broken.RequestID, Process: node.self.Name, Sent: broken.Sent, Ended: broken.at,
+	}
+	quarantine.mutex.Lock()
+	defer quarantine.mutex.Unlock()
+	node.Log.Info("engine ended during a request", zap.String("engine", broken.Engine.ID), zap.String("request", broken.RequestID),
+		zap.Stringer("fingerprint", broken.Fingerprint), zap.Duration("ran", broken.at.Sub(broken.Sent)), zap.String("reason", reason))
+	if !quarantine.add(end) {
+		return
+	}
+	quarantine.unshared.Ends = append(quarantine.unshared.Ends, end)
+	if quarantine.unsaved = append(quarantine.unsaved, end); len(quarantine.unsaved) > maxUnsavedEnds {
+		quarantine.unsaved = quarantine.unsaved[1:]
+	}
 	quarantine.requestFlush()
 }
 
@@ -146,6 +217,19 @@
 	return quarantine.ledger.Quarantine(time.Now(), digest)
 }
 
+// ExpiredSuspicions returns the keys of up to limit records of suspicions in the store that no longer count.
+func (node *Node) ExpiredSuspicions(now time.Time, limit int) (keys []string) {
+	quarantine := &node.quarantine
+	quarantine.mutex.Lock()
+	defer quarantine.mutex.Unlock()
+	for key, at := range quarantine.saved {
+		if now.Sub(at) > sweepAfter && len(keys) < limit {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
 // add adds an engine's end to the ledger and logs the quarantine that results from it. It reports whether the end is new.
 // The mutex must be held.
 func (quarantine *quarantine) add(end poisonpill.EngineEnd) (added bool) {
@@ -278,16 +362,26 @@
 	var group sync.WaitGroup
 	for _, memberID := range memberIDs {
 		group.Go(func() {
-			ctx, cancel := context.WithTimeout(ctx, shareTimeout)
-			defer cancel()
-			if _, err := node.mesh.CallMember(ctx, memberID, message); err != nil {
-				node.Log.Info("member not told of suspicions", zap.String("member", memberID), telemetry.Err(err))
+			for range shareAttempts {
+				if err := node.tellMember(ctx, memberID, message); err == nil {
+					return
+				}
 			}
 		})
 	}
 	group.Wait()
 }
 
+// tellMember makes one attempt to send an encoded message about suspicions to a member.
+func (node *Node) tellMember(ctx context.Context, memberID string, message []byte) (err error) {
+	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
+	defer cancel()
+	if _, err = node.mesh.CallMember(ctx, memberID, message); err != nil {
+		node.Log.Info("member not told of suspicions", zap.String("member", memberID), telemetry.Err(err))
+	}
+	return err
+}
+
 // requestFlush makes run share what is new.
 func (quarantine *quarantine) requestFlush() {
 	select {
--- a/io/process/telemetry/events.go
+++ b/io/process/telemetry/events.go
@@ -51,7 +51,7 @@
 	{"counts left out of a message", "left", "the load counts did not fit into a datagram; left is the number of entries omitted"},
 	{"engine report", "reachable error", "the engine on this VM became reachable or unreachable for the reporter"},
 
-	{"engine ended during a request", "engine request fingerprint ran error", "an engine broke off its response and accepts no connections; this counts against the request; error is why no connection was opened"},
+	{"engine ended during a request", "engine request fingerprint ran reason", "an engine broke off its response and has ended, which counts against the request; reason tells from what that is known"},
 	{"request quarantined", "fingerprint request engines until", "engines ended under the request one after another, as this process has seen or been told; it is not sent to engines until then"},
 	{"quarantine lifted", "fingerprint reason ends", "a quarantined request may run again; ends is the number of engine ends that no longer count"},
 	{"suspicion ignored", "key error", "the record of an engine's end or of a clearance could not be decoded"},
@@ -77,7 +77,9 @@
 	{"job ended", "job", "the caller cancelled the job; its items are no longer run"},
 	{"job swept", "job chunks", "the records of an expired job were deleted"},
 	{"job not swept yet", "job error", "deleting the records of an expired job failed; it is retried"},
+	{"suspicions not swept yet", "records error", "removing records of engine ends that no longer count failed; it is retried"},
 	{"item run", "job request engine verdict events took cause fingerprint", "one run of a batch item ended; fingerprint identifies the item by its content and is set if the run was interrupted"},
+	{"item withheld", "job request fingerprint ends until abandoned", "engines ended under the item one after another; it does not run until then, or is given up if abandoned is set"},
 	{"item given up: it has no route", "job request configuration", "no route matches the item; its result is an error"},
 	{"results not written yet", "writes error", "writing results failed; the same write is retried"},
 	{"results could not be encoded", "error", "results could not be encoded for the store; this is a bug"},
