worker: an item that ends its engines is withheld

What callers and engines saw: an item of a batch job that ends each engine which runs it was run again for ever, first after 0.2 s and then every 5 s, by each owner of its job anew; the items beside it broke off each time.

Cause: the runner delays an interrupted item, but keeps no count over its life, and nothing that the next owner, or another job with the same item, would know.

Evidence: TestSharedStorePath/engine_crashing_item failed before: "4 runs, 4 engines ended" while the other five items were run.

Other items are not delayed. Workers remove records of ends that no longer count.

--- a/core/coordination/jobrunner/runner.go
+++ b/core/coordination/jobrunner/runner.go
@@ -170,6 +170,26 @@
 	}
 }
 
+// Withhold keeps the item of a run that Next returned from running until a time, since engines have ended under it. It gives
+// the item up if the job has reached the time after which its items may be abandoned, and reports that.
+func (runner *Runner) Withhold(now time.Time, run ItemRun, until time.Time) (abandoned bool) {
+	item := runner.findItem(run)
+	if item == nil {
+		return false
+	}
+	item.running = false
+	job := runner.jobs[run.Job.ID]
+	if !now.Before(job.AbandonAfter) {
+		job.addResult(item, jobrecord.Result{ID: item.ID, State: jobrecord.Failed})
+		return true
+	}
+	item.notBefore = until
+	if job.AbandonAfter.Before(until) {
+		item.notBefore = job.AbandonAfter
+	}
+	return false
+}
+
 // findItem returns the item of a run, or nil if the runner does not hold the run's job.
 func (runner *Runner) findItem(run ItemRun) *item {
 	job, ok := runner.jobs[run.Job.ID]
--- a/core/coordination/jobrunner/runner_test.go
+++ b/core/coordination/jobrunner/runner_test.go
@@ -68,6 +68,10 @@
 						progress = jobrecord.Progress{LastEventID: words[3], Data: strings.Split(words[3], "")}
 					}
 					runner.RecordOutcome(now, run, Outcome(slices.Index(outcomeNames[:], words[2])), progress)
+				case "withhold": // withhold ITEM UNTIL
+					until, err := time.ParseDuration(words[2])
+					must(t, err)
+					fmt.Fprintln(&out, "abandoned:", runner.Withhold(now, running[words[1]], start.Add(until)))
 				case "commit":
 					for _, write := range runner.PrepareCommit() {
 						fmt.Fprintf(&out, "%s chunk %d, epoch %d: %+v\n", write.Job, write.Number, write.Epoch, write.Chunk.Results)
--- a/io/process/explain/explain.go
+++ b/io/process/explain/explain.go
@@ -119,6 +119,8 @@
 		return fmt.Sprintf("the logs do not show how it ended: it was last sent to %s by %s%s%s", last.Text("engine"), last.VM, unsuccessful, report.describeRestart(last, lines))
 	case "item run":
 		return fmt.Sprintf("last run of the item: %s at %s after %s events%s%s", last.Text("verdict"), last.Text("engine"), last.Text("events"), unsuccessful, report.describeRestart(last, lines))
+	case "item withheld":
+		return fmt.Sprintf("withheld until %s by %s: %s engines ended one after another while they ran it (fingerprint %s)%s", last.Text("until"), last.VM, last.Text("ends"), last.Text("fingerprint"), unsuccessful)
 	case "job complete":
 		return "the job is complete" + unsuccessful
 	case "job dropped":
--- a/io/process/worker/sweep.go
+++ b/io/process/worker/sweep.go
@@ -25,6 +25,7 @@
 	if now.Sub(worker.sweptAt) < sweepInterval || worker.stopping || retention <= 0 {
 		return
 	}
+	worker.sweepSuspicions(ctx, now, workers)
 	var expiredJob *jobrecord.View
 	worker.Node.EachJob(func(id string, view jobrecord.View) bool {
 		expired := view.Job != nil && view.Ownership.Ended && now.After(view.Job.Submitted.Add(retention+sweepMargin))
@@ -40,6 +41,20 @@
 	go worker.deleteRecords(ctx, *expiredJob)
 }
 
+// sweepSuspicions removes records of engine ends that no longer count. One of the workers does so for all.
+func (worker *Worker) sweepSuspicions(ctx context.Context, now time.Time, workers []fleet.Member) {
+	keys := worker.Node.ExpiredSuspicions(now, store.MaxTxnEntries)
+	if len(keys) == 0 || jobrunner.PreferredOwner("suspicions", workers) != worker.Node.Self().ID() {
+		return
+	}
+	worker.sweptAt = now
+	go func() {
+		if _, _, err := worker.Node.Store.Commit(ctx, store.Txn{Deletes: keys}); err != nil {
+			worker.Log.Info("suspicions not swept yet", zap.Int("records", len(keys)), telemetry.Err(err))
+		}
+	}()
+}
+
 // deleteRecords deletes the progress and results of a job first and its job record last, so that a later sweep finds the job
 // again after a failure.
 func (worker *Worker) deleteRecords(ctx context.Context, view jobrecord.View) {
--- a/io/process/worker/worker.go
+++ b/io/process/worker/worker.go
@@ -14,6 +14,7 @@
 
 	"cowslipway/core/coordination/jobrunner"
 	"cowslipway/core/coordination/placement"
+	"cowslipway/core/coordination/poisonpill"
 	"cowslipway/core/state/fleet"
 	"cowslipway/core/state/jobrecord"
 	"cowslipway/core/state/routes"
@@ -278,6 +279,9 @@
 			worker.Log.Info("item given up: it has no route", zap.String("job", itemRun.Job.ID), zap.String("request", itemRun.Item.ID), zap.Int64("configuration", table.Version))
 			continue
 		}
+		if worker.withhold(now, itemRun) {
+			continue
+		}
 		engine, ok := worker.Node.AcquireBatch(placement.Request{Service: route.SelectService(itemRun.Item.ID), Domain: worker.Node.Settings.FailureDomain})
 		if !ok {
 			worker.runner.Requeue(itemRun)
@@ -289,6 +293,18 @@
 	worker.Node.SetBatchBacklog(backlog)
 }
 
+// withhold keeps an item from running, or gives it up, if it is quarantined and no trial is due. It reports whether it did.
+func (worker *Worker) withhold(now time.Time, itemRun jobrunner.ItemRun) (withheld bool) {
+	quarantine, ok := worker.Node.Quarantined(func() poisonpill.Fingerprint { return fingerprintOf(itemRun) })
+	if !ok || !now.Before(quarantine.Trial) {
+		return false
+	}
+	abandoned := worker.runner.Withhold(now, itemRun, quarantine.Trial)
+	worker.Log.Info("item withheld", zap.String("job", itemRun.Job.ID), zap.String("request", itemRun.Item.ID), zap.Stringer("fingerprint", fingerprintOf(itemRun)),
+		zap.Int("ends", len(quarantine.Ends)), zap.Time("until", quarantine.Trial), zap.Bool("abandoned", abandoned))
+	return true
+}
+
 // startItem runs an item at engine in a new goroutine.
 func (worker *Worker) startItem(ctx context.Context, itemRun jobrunner.ItemRun, engine fleet.Engine) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -311,6 +327,7 @@
 	switch outcome {
 	case jobrunner.Finished, jobrunner.Invalid, jobrunner.Errored:
 		worker.Node.RecordSuccess(run.engine)
+		worker.Node.RecordCompletion(func() poisonpill.Fingerprint { return fingerprintOf(run.itemRun) })
 	case jobrunner.Interrupted:
 		worker.Node.RecordFailure(run.engine)
 	case jobrunner.Preempted, jobrunner.NotExecuted: // a preemption is no failure, and runItem has recorded that an engine did not execute the item
