ingress: ask the store for results when the view is older than 800 ms

Results that a caller has read have to be visible everywhere within 1 s, and 50 ms of that were left for the ingress to answer after it has checked the age of its view. On a VM with little CPU time that is not enough. Now 200 ms are left.

--- a/io/process/ingress/jobs.go
+++ b/io/process/ingress/jobs.go
@@ -22,9 +22,9 @@
 const (
 	viewTimeout = 600 * time.Millisecond // the view lags by at most the follower's pace and one store call
 	// maxViewAge is the age of the view above which the process checks the store for newer results before it answers that
-	// there are none. Results that one process has served have to be visible at every other one within 1 s, and a process
-	// with an older view has fallen behind.
-	maxViewAge            = 950 * time.Millisecond
+	// there are none. Results that one process has served have to be visible at every other one within 1 s; the difference
+	// is for a process that is short of CPU time while it answers.
+	maxViewAge            = 800 * time.Millisecond
 	submitTimeout         = 1500 * time.Millisecond
 	cancelTimeout         = 3 * time.Second // a cancellation has to be acknowledged within 4 s
 	commitRetryDelay      = 100 * time.Millisecond
