--- a/io/process/cli/commands.go
+++ b/io/process/cli/commands.go
@@ -56,6 +56,14 @@
 			return &reporterCommand{memberCommand: memberCommand{baseCommand: baseCommand{ctx: ctx, cli: cli}}}
 		},
 	},
+	{
+		name:  "quarantine",
+		short: "Show the requests under which engines ended, or lift the quarantine of one",
+		long:  "Reads the store of the platform on which ingress and worker processes run. Prints one JSON object for each request: its fingerprint as in the logs, whether it is quarantined and until when, and the engines that ended. With --lift, the request may run again; all members follow within two seconds while they reach the store.",
+		make: func(ctx context.Context, cli *CLI) flags.Commander {
+			return &quarantineCommand{baseCommand: baseCommand{ctx: ctx, cli: cli}}
+		},
+	},
 	{
 		name:  "demo",
 		short: "Run the whole system in one process, with fake engines and a fake platform",
