cli: signals that come while a process stops do not cut its requests

What callers saw: answers that broke off in the middle, under planned work only, at ingress processes that got SIGHUP in the seconds in which they finished their requests after SIGTERM; the same with a second SIGTERM. The entry and the target daemon of the product's own protocol ended at any SIGHUP.

Cause: the handler of SIGHUP was removed at SIGTERM, and that of SIGTERM itself after the first one, on purpose, so that both had their default action again: the process ends at once.

TestSharedStorePath/hangup_while_stopping and /stopped_twice ("events 1 to 2, then truncated", exit by the signal) and TestScripts/repeated_signals (10 of 20 streams broken) failed before.

Fix: SIGHUP is caught from before the settings are read until the process exits, by all four kinds of processes, and a repeated SIGTERM changes nothing; SIGKILL ends a process that does not stop in time. At a terminal, a second SIGINT still ends a process at once.

--- a/internal/processes/script_test.go
+++ b/internal/processes/script_test.go
@@ -566,7 +566,7 @@
 	return fmt.Sprintf("stopped before all items started: %v\n", previous < len(job.prompts))
 }
 
-var signals = map[string]syscall.Signal{"kill": syscall.SIGKILL, "term": syscall.SIGTERM, "stop": syscall.SIGSTOP, "cont": syscall.SIGCONT}
+var signals = map[string]syscall.Signal{"kill": syscall.SIGKILL, "term": syscall.SIGTERM, "stop": syscall.SIGSTOP, "cont": syscall.SIGCONT, "hup": syscall.SIGHUP}
 
 // signal sends a signal to the processes named in the input.
 func (runner *runner) signal() string {
--- a/io/process/cli/cli.go
+++ b/io/process/cli/cli.go
@@ -4,9 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/juju/errors"
@@ -42,10 +39,8 @@
 
 // Run runs the command in arguments and returns its exit code.
 func (cli *CLI) Run(arguments []string) (code int) {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	// Restores the default handling after the first signal, so that a second one ends the process at once.
-	context.AfterFunc(ctx, stop)
+	ctx, release := untilStopped(context.Background())
+	defer release()
 	parser := flags.NewNamedParser("cowslipway", flags.HelpFlag|flags.PassDoubleDash)
 	for _, spec := range commands {
 		if _, err := parser.AddCommand(spec.name, spec.short, spec.long, spec.make(ctx, cli)); err != nil {
--- a/io/process/cli/commands.go
+++ b/io/process/cli/commands.go
@@ -19,7 +19,7 @@
 	{
 		name:  "entry",
 		short: "Run an entry, the process that serves callers",
-		long:  "Serves callers and operators over HTTP and sends the callers' requests to targets. SIGTERM starts a graceful shutdown; a second SIGTERM ends the process at once.",
+		long:  "Serves callers and operators over HTTP and sends the callers' requests to targets. SIGTERM starts a graceful shutdown; repeating it changes nothing.",
 		make: func(ctx context.Context, cli *CLI) flags.Commander {
 			return &entryCommand{baseCommand: baseCommand{ctx: ctx, cli: cli}}
 		},
@@ -27,7 +27,7 @@
 	{
 		name:  "target",
 		short: "Run a target daemon, the process beside the targets of a VM",
-		long:  "Admits all requests to the engines and plain services named in its settings. SIGTERM starts a graceful shutdown; a second SIGTERM ends the process at once.",
+		long:  "Admits all requests to the engines and plain services named in its settings. SIGTERM starts a graceful shutdown; repeating it changes nothing.",
 		make: func(ctx context.Context, cli *CLI) flags.Commander {
 			return &targetCommand{baseCommand: baseCommand{ctx: ctx, cli: cli}}
 		},
@@ -35,7 +35,7 @@
 	{
 		name:  "ingress",
 		short: "Serve callers on a platform whose store lists the engines and the configuration",
-		long:  "Sends online requests directly to engines and writes batch jobs to the store. SIGTERM starts a graceful shutdown; a second SIGTERM ends the process at once. SIGHUP reads and logs the settings; changes take effect at the next start.",
+		long:  "Sends online requests directly to engines and writes batch jobs to the store. SIGTERM starts a graceful shutdown; repeating it changes nothing. SIGHUP reads and logs the settings; changes take effect at the next start.",
 		make: func(ctx context.Context, cli *CLI) flags.Commander {
 			return &ingressCommand{memberCommand: memberCommand{baseCommand: baseCommand{ctx: ctx, cli: cli}}}
 		},
@@ -43,7 +43,7 @@
 	{
 		name:  "worker",
 		short: "Run batch jobs on a platform whose store lists the engines and the configuration",
-		long:  "Owns batch jobs and runs their items in slots that online requests do not need. SIGTERM hands the jobs over to other workers; a second SIGTERM ends the process at once. SIGHUP reads and logs the settings; changes take effect at the next start.",
+		long:  "Owns batch jobs and runs their items in slots that online requests do not need. SIGTERM hands the jobs over to other workers; repeating it changes nothing. SIGHUP reads and logs the settings; changes take effect at the next start.",
 		make: func(ctx context.Context, cli *CLI) flags.Commander {
 			return &workerCommand{memberCommand: memberCommand{baseCommand: baseCommand{ctx: ctx, cli: cli}}}
 		},
--- a/io/process/cli/member.go
+++ b/io/process/cli/member.go
@@ -1,12 +1,9 @@
 package cli
 
 import (
-	"context"
 	"os"
-	"os/signal"
 	"runtime"
 	"runtime/debug"
-	"syscall"
 
 	"go.uber.org/zap"
 
@@ -34,6 +31,7 @@
 // prepare reads the settings, sets the limits of the Go runtime and prepares the node of a member process. servesCallers
 // reports whether the process has HTTP addresses for callers. stop writes the queued log lines.
 func (command *memberCommand) prepare(role fleet.Role, servesCallers bool) (memberNode *node.Node, stop func(), err error) {
+	hangups := catchHangups()
 	memberSettings, err := settings.ReadMember(command.Settings, servesCallers)
 	if err != nil {
 		return nil, nil, err
@@ -46,19 +44,16 @@
 		return nil, nil, err
 	}
 	memberNode = &node.Node{Settings: memberSettings, Role: role, Records: platform.Records{}, Driver: platform.NewStoreDriver(memberSettings.StoreAddress), Engines: platform.Engines{}, Log: log}
-	command.watchSettings(memberSettings, servesCallers, log)
+	command.watchSettings(hangups, memberSettings, servesCallers, log)
 	log.Info("started", zap.Int("pid", os.Getpid()), zap.Any("settings", memberSettings))
 	return memberNode, stop, memberNode.Prepare()
 }
 
-// watchSettings reads and logs the settings at each SIGHUP. The running process keeps its settings; changes take effect at its
+// watchSettings reads and logs the settings at each hangup. The running process keeps its settings; changes take effect at its
 // next start.
-func (command *memberCommand) watchSettings(current settings.Member, servesCallers bool, log *zap.Logger) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	context.AfterFunc(command.ctx, func() { signal.Stop(signals) })
+func (command *memberCommand) watchSettings(hangups <-chan os.Signal, current settings.Member, servesCallers bool, log *zap.Logger) {
 	go func() {
-		for range signals {
+		for range hangups {
 			updated, err := settings.ReadMember(command.Settings, servesCallers)
 			log.Info("settings read again", zap.Bool("changed", err == nil && updated != current), zap.Any("settings", updated), telemetry.Err(err))
 		}
--- a/io/process/cli/run.go
+++ b/io/process/cli/run.go
@@ -46,6 +46,7 @@
 
 // newResources creates the resources that the common settings describe, and sets gcPercent.
 func (command *baseCommand) newResources(common settings.Process) (created resources, err error) {
+	_ = catchHangups() // the settings are read at the start only
 	debug.SetGCPercent(gcPercent)
 	if created.tls, err = common.TLS.Load(); err != nil {
 		return created, err
