--- a/core/coordination/poisonpill/ledger.go
+++ b/core/coordination/poisonpill/ledger.go
@@ -13,11 +13,10 @@
 	quarantineEnds = 3
 	// EndLifetime is how long an engine's end counts against a request.
 	EndLifetime = 10 * time.Minute
-	// baseTrialDelay is the time from the end that quarantines a request until its first trial. It doubles with each further
-	// end.
-	baseTrialDelay = 15 * time.Second
+	// trialDelay is the time from the last end under a quarantined request until its next trial.
+	trialDelay = 15 * time.Second
 	// maxTrials bounds the trials of a request, each of which may end an engine.
-	maxTrials = 2
+	maxTrials = 3
 )
 
 // EngineEnd records that an engine ended while it had a request.
@@ -33,9 +32,9 @@
 // Quarantine is the state of a request under which several engines have ended.
 type Quarantine struct {
 	Ends  []EngineEnd // in the order in which they happened
-	Until time.Time   // end of the quarantine
-	// Trial is the time from which the request may run once more where only one process can decide so; it equals Until if
-	// there are no trials left.
+	Until time.Time   // end of the quarantine, if no other engine ends: fewer than quarantineEnds count from then on
+	// Trial is the time from which the request may run once more, as one process decides for all; it equals Until if there are
+	// no trials left.
 	Trial time.Time
 }
 
@@ -122,11 +121,10 @@
 	if count < quarantineEnds {
 		return Quarantine{}, false
 	}
-	last := quarantine.Ends[count-1].Ended
-	quarantine.Until = last.Add(EndLifetime)
+	quarantine.Until = quarantine.Ends[count-quarantineEnds].Ended.Add(EndLifetime)
 	quarantine.Trial = quarantine.Until
-	if trials := count - quarantineEnds; trials < maxTrials {
-		quarantine.Trial = last.Add(baseTrialDelay << trials)
+	if count-quarantineEnds < maxTrials {
+		quarantine.Trial = quarantine.Ends[count-1].Ended.Add(trialDelay)
 	}
 	return quarantine, true
 }
--- a/io/process/ingress/online.go
+++ b/io/process/ingress/online.go
@@ -183,7 +183,9 @@
 			online.attempts-- // the request was not sent in this attempt
 		}
 		if result == served || result == failureForwarded {
-			online.server.Node.RecordCompletion(online.fingerprint)
+			if result == served {
+				online.server.Node.RecordCompletion(online.fingerprint)
+			}
 			online.recordOutcome(result.String())
 			return
 		}
--- a/io/process/node/node.go
+++ b/io/process/node/node.go
@@ -137,7 +137,11 @@
 		return nil
 	})
 	group.Go(func() error {
-		node.quarantine.run(ctx)
+		node.quarantine.runSharing(ctx)
+		return nil
+	})
+	group.Go(func() error {
+		node.quarantine.runSaving(ctx)
 		return nil
 	})
 	group.Go(func() error {
--- a/io/process/node/quarantine.go
+++ b/io/process/node/quarantine.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -23,6 +24,7 @@
 const (
 	suspicionPrefix = "suspicions/"
 	clearanceName   = "cleared" // last part of the key of a clearance
+	trialName       = "trial-"  // start of the last part of the key of a trial
 	// suspicionCall starts a call between members that passes on suspicions; calls to the store are JSON objects.
 	suspicionCall = "suspicions\n"
 
@@ -65,6 +67,15 @@
 type suspicions struct {
 	Ends       []poisonpill.EngineEnd `json:"ends,omitempty"`
 	Clearances []poisonpill.Clearance `json:"clearances,omitempty"`
+
+	trials []trial // only read from the store
+}
+
+// trial is the record that a process runs a quarantined request once.
+type trial struct {
+	Fingerprint poisonpill.Fingerprint `json:"fingerprint"`
+	Process     string                 `json:"process"`
+	At          time.Time              `json:"at"`
 }
 
 // quarantine holds the engine ends that this process has seen or been told of, tells the other members of those it has
@@ -81,7 +92,8 @@
 	unsaved    []poisonpill.EngineEnd         // to be written to the store, oldest first
 	clearances []poisonpill.Clearance         // to be written to the store
 	saved      map[string]time.Time           // times of the records in the store, by key
-	wake       chan struct{}
+	wakeShare  chan struct{}                  // there is something to share
+	wakeSave   chan struct{}                  // there is something to save
 }
 
 // init sets up an empty quarantine.
@@ -90,7 +102,7 @@
 	quarantine.ledger.MaxRequests = maxSuspects
 	quarantine.announced = map[poisonpill.Fingerprint]int{}
 	quarantine.saved = map[string]time.Time{}
-	quarantine.wake = make(chan struct{}, 1)
+	quarantine.wakeShare, quarantine.wakeSave = make(chan struct{}, 1), make(chan struct{}, 1)
 }
 
 // endKey returns the key of the record of an engine's end.
@@ -108,10 +120,13 @@
 // incarnation is listed at its address soon after.
 func (node *Node) CheckEngineEnd(ctx context.Context, run EngineRun) {
 	broken := brokenRun{EngineRun: run, at: time.Now()}
-	if err := node.Upstream.Dial(ctx, run.Engine.Address); err != nil {
-		if ctx.Err() == nil {
-			node.quarantine.recordEnd(broken, err.Error())
-		}
+	err := node.Upstream.Dial(ctx, run.Engine.Address)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		node.quarantine.recordEnd(broken, err.Error())
+		return
+	case err != nil:
+		telemetry.EngineChecks.Add("no answer", 1) // as over a cut link, or from a VM without power
 		return
 	}
 	telemetry.EngineChecks.Add("accepted", 1)
@@ -120,7 +135,7 @@
 		return // an engine that a request ends has seldom sent an event by then
 	}
 	time.AfterFunc(recheckDelay, func() {
-		if err := node.Upstream.Dial(context.WithoutCancel(ctx), run.Engine.Address); err != nil {
+		if err := node.Upstream.Dial(context.WithoutCancel(ctx), run.Engine.Address); errors.Is(err, syscall.ECONNREFUSED) {
 			node.quarantine.confirmEnds(err.Error(), func(other brokenRun) bool { return other == broken })
 		}
 	})
@@ -129,7 +144,7 @@
 // engineListed counts runs that the engine at the address of listed broke off lately, if listed is a later incarnation.
 func (quarantine *quarantine) engineListed(listed fleet.Engine) {
 	quarantine.confirmEnds("a new incarnation is listed", func(broken brokenRun) bool {
-		return broken.Engine.Address == listed.Address && broken.Engine.Incarnation() != listed.Incarnation()
+		return broken.Engine.Address == listed.Address && broken.Engine.StartUnixMilli < listed.StartUnixMilli
 	})
 }
 
@@ -266,7 +281,7 @@
 	unsaved := quarantine.unsaved[:0]
 	waiting := 0
 	for _, end := range quarantine.unsaved {
-		if end.Fingerprint == clearance.Fingerprint {
+		if end.Fingerprint == clearance.Fingerprint && !end.Ended.After(clearance.At) {
 			waiting++
 			continue
 		}
@@ -309,6 +324,9 @@
 		quarantine.saved[item.Key] = end.Ended
 		quarantine.add(end)
 	}
+	for _, trial := range read.trials {
+		quarantine.saved[item.Key] = trial.At
+	}
 	for _, clearance := range read.Clearances {
 		quarantine.saved[item.Key] = clearance.At
 		quarantine.clear(clearance, "the store has a clearance")
@@ -316,13 +334,30 @@
 	return nil
 }
 
-// decodeSuspicion decodes the record of an engine's end or of a clearance.
+// ClaimTrial claims the next trial of a request under which a number of engines have ended, so that it runs once in the whole
+// fleet. The cause of its error is store.ErrConflict if the trial was claimed before.
+func (node *Node) ClaimTrial(ctx context.Context, fingerprint poisonpill.Fingerprint, ends int) (err error) {
+	defer func() { err = errors.Annotatef(err, "claiming trial %d of %s", ends, fingerprint) }()
+	value, err := json.Marshal(trial{Fingerprint: fingerprint, Process: node.self.Name, At: time.Now()})
+	if err != nil {
+		return err
+	}
+	key := node.Records.OwnKey(fmt.Sprintf("%s%s/%s%d", suspicionPrefix, fingerprint, trialName, ends))
+	_, _, err = node.Store.Commit(ctx, store.Txn{Conditions: []store.Condition{{Key: key}}, Writes: []store.Write{{Key: key, Value: value}}})
+	return err
+}
+
+// decodeSuspicion decodes the record of an engine's end, of a clearance or of a trial.
 func decodeSuspicion(item store.Item) (read suspicions, err error) {
 	defer func() { err = errors.Annotatef(err, "decoding %q", item.Key) }()
 	if strings.HasSuffix(item.Key, "/"+clearanceName) {
 		read.Clearances = make([]poisonpill.Clearance, 1)
 		return read, json.Unmarshal(item.Value, &read.Clearances[0])
 	}
+	if strings.Contains(item.Key, "/"+trialName) {
+		read.trials = make([]trial, 1)
+		return read, json.Unmarshal(item.Value, &read.trials[0])
+	}
 	read.Ends = make([]poisonpill.EngineEnd, 1)
 	return read, json.Unmarshal(item.Value, &read.Ends[0])
 }
@@ -382,26 +417,39 @@
 	return err
 }
 
-// requestFlush makes run share what is new.
+// requestFlush makes what is new be told to the peers and written to the store.
 func (quarantine *quarantine) requestFlush() {
-	select {
-	case quarantine.wake <- struct{}{}:
-	default: // already requested
+	for _, wake := range []chan struct{}{quarantine.wakeShare, quarantine.wakeSave} {
+		select {
+		case wake <- struct{}{}:
+		default: // already requested
+		}
+	}
+}
+
+// runSharing tells peers of new suspicions until ctx ends.
+func (quarantine *quarantine) runSharing(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-quarantine.wakeShare:
+			quarantine.share(ctx)
+		}
 	}
 }
 
-// run tells peers of new suspicions at once and writes them to the store a little later, until ctx ends.
-func (quarantine *quarantine) run(ctx context.Context) {
+// runSaving writes suspicions to the store, a little after they were recorded, until ctx ends.
+func (quarantine *quarantine) runSaving(ctx context.Context) {
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
-	for ctx.Err() == nil {
+	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-quarantine.wake:
+		case <-quarantine.wakeSave:
 		case <-timer.C:
 		}
-		quarantine.share(ctx)
 		if next, ok := quarantine.save(ctx); ok {
 			timer.Reset(next)
 		}
--- /dev/null
+++ b/io/process/node/quarantine_test.go
@@ -0,0 +1,95 @@
+package node
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cowslipway/core/coordination/poisonpill"
+	"cowslipway/core/state/fleet"
+	"cowslipway/io/transport/upstream"
+)
+
+// newTestNode returns a node that can check the ends of engines.
+func newTestNode() *Node {
+	node := &Node{Log: zap.NewNop(), Upstream: &upstream.Pool{DialTimeout: dialTimeout}}
+	node.directory.init(node)
+	node.quarantine.init(node)
+	return node
+}
+
+// TestUnreachableEngine checks that the end of an engine is not counted where a connection to it merely gets no answer, as
+// over a cut link.
+func TestUnreachableEngine(t *testing.T) {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = syscall.Close(fd) }()
+	if err = syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err = syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := (&net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: name.(*syscall.SockaddrInet4).Port}).String()
+	for { // fill the queue of the listening socket, so that the kernel drops further SYN packets
+		conn, err := net.DialTimeout("tcp", address, 100*time.Millisecond)
+		if err != nil {
+			break
+		}
+		defer func() { _ = conn.Close() }()
+	}
+	node := newTestNode()
+	fingerprint := poisonpill.FingerprintOf("POST", "host", "/", nil)
+	node.CheckEngineEnd(context.Background(), EngineRun{Engine: fleet.Engine{ID: "e1", Address: address}, Fingerprint: fingerprint, Sent: time.Now()})
+	if node.quarantine.ledger.Suspected(fingerprint) {
+		t.Error("the end of an engine that does not answer a connection was counted")
+	}
+}
+
+// TestEarlierIncarnationListed checks that a run that a live engine broke off is not counted as an end when the record of the
+// former engine at its address, which is still in the store, is listed again.
+func TestEarlierIncarnationListed(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	address := listener.Addr().String()
+	node := newTestNode()
+	former, current := fleet.Engine{ID: "e1", StartUnixMilli: 1000, Address: address}, fleet.Engine{ID: "e2", StartUnixMilli: 5000, Address: address}
+	fingerprint := poisonpill.FingerprintOf("POST", "host", "/", nil)
+	node.CheckEngineEnd(context.Background(), EngineRun{Engine: current, Fingerprint: fingerprint, Sent: time.Now(), Events: 1})
+	node.quarantine.engineListed(former)
+	node.quarantine.engineListed(current)
+	if node.quarantine.ledger.Suspected(fingerprint) {
+		t.Error("the end of an engine was counted that is alive and is the newest at its address")
+	}
+}
+
+// TestClearanceKeepsLaterEnds checks that an end after the time of a clearance, which the ledger keeps, is still written to the
+// store.
+func TestClearanceKeepsLaterEnds(t *testing.T) {
+	node := newTestNode()
+	fingerprint := poisonpill.FingerprintOf("POST", "host", "/", nil)
+	now := time.Now()
+	for number, at := range []time.Time{now.Add(-time.Second), now} {
+		node.quarantine.recordEnd(brokenRun{EngineRun: EngineRun{Engine: fleet.Engine{ID: "e", StartUnixMilli: int64(number)}, Fingerprint: fingerprint, Sent: at}, at: at}, "test")
+	}
+	node.quarantine.merge(suspicions{Clearances: []poisonpill.Clearance{{Fingerprint: fingerprint, At: now.Add(-500 * time.Millisecond)}}})
+	if !node.quarantine.ledger.Suspected(fingerprint) {
+		t.Fatal("the later end does not count any longer")
+	}
+	if len(node.quarantine.unsaved) != 1 {
+		t.Errorf("%d ends wait for the store, want the one after the clearance", len(node.quarantine.unsaved))
+	}
+}
--- a/io/process/telemetry/events.go
+++ b/io/process/telemetry/events.go
@@ -80,6 +80,7 @@
 	{"suspicions not swept yet", "records error", "removing records of engine ends that no longer count failed; it is retried"},
 	{"item run", "job request engine verdict events took cause fingerprint", "one run of a batch item ended; fingerprint identifies the item by its content and is set if the run was interrupted"},
 	{"item withheld", "job request fingerprint ends until abandoned", "engines ended under the item one after another; it does not run until then, or is given up if abandoned is set"},
+	{"trial claimed", "request fingerprint ends error", "this worker tried to claim the run of a quarantined item that is due after so many engine ends; error is set if that failed, for example because another worker runs it"},
 	{"item given up: it has no route", "job request configuration", "no route matches the item; its result is an error"},
 	{"results not written yet", "writes error", "writing results failed; the same write is retried"},
 	{"results could not be encoded", "error", "results could not be encoded for the store; this is a bug"},
--- a/io/process/worker/worker.go
+++ b/io/process/worker/worker.go
@@ -55,6 +55,7 @@
 	checkpoints   checkpointFiles
 	savedProgress jobrecord.ProgressByJob // from the checkpoints of the previous process on this VM
 	retired       map[string]bool         // VMs whose retirement is reported or being reported
+	trials        map[poisonpill.Fingerprint]*trial
 }
 
 // action changes the state of a Worker. The goroutine that runs control runs all actions, one after the other.
@@ -74,6 +75,7 @@
 	defer func() { err = errors.Annotate(err, "running batch jobs") }()
 	worker.running, worker.claiming, worker.completed = map[*activeRun]bool{}, map[string]bool{}, map[string]bool{}
 	worker.retired = map[string]bool{}
+	worker.trials = map[poisonpill.Fingerprint]*trial{}
 	worker.actions = make(chan action, 256)
 	worker.checkpoints = checkpointFiles{directory: worker.Node.Settings.DataDirectory, log: worker.Log}
 	worker.savedProgress = worker.checkpoints.open()
@@ -279,7 +281,7 @@
 			worker.Log.Info("item given up: it has no route", zap.String("job", itemRun.Job.ID), zap.String("request", itemRun.Item.ID), zap.Int64("configuration", table.Version))
 			continue
 		}
-		if worker.withhold(now, itemRun) {
+		if worker.withhold(ctx, now, itemRun) {
 			continue
 		}
 		engine, ok := worker.Node.AcquireBatch(placement.Request{Service: route.SelectService(itemRun.Item.ID), Domain: worker.Node.Settings.FailureDomain})
@@ -293,18 +295,6 @@
 	worker.Node.SetBatchBacklog(backlog)
 }
 
-// withhold keeps an item from running, or gives it up, if it is quarantined and no trial is due. It reports whether it did.
-func (worker *Worker) withhold(now time.Time, itemRun jobrunner.ItemRun) (withheld bool) {
-	quarantine, ok := worker.Node.Quarantined(func() poisonpill.Fingerprint { return fingerprintOf(itemRun) })
-	if !ok || !now.Before(quarantine.Trial) {
-		return false
-	}
-	abandoned := worker.runner.Withhold(now, itemRun, quarantine.Trial)
-	worker.Log.Info("item withheld", zap.String("job", itemRun.Job.ID), zap.String("request", itemRun.Item.ID), zap.Stringer("fingerprint", fingerprintOf(itemRun)),
-		zap.Int("ends", len(quarantine.Ends)), zap.Time("until", quarantine.Trial), zap.Bool("abandoned", abandoned))
-	return true
-}
-
 // startItem runs an item at engine in a new goroutine.
 func (worker *Worker) startItem(ctx context.Context, itemRun jobrunner.ItemRun, engine fleet.Engine) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -327,7 +317,9 @@
 	switch outcome {
 	case jobrunner.Finished, jobrunner.Invalid, jobrunner.Errored:
 		worker.Node.RecordSuccess(run.engine)
-		worker.Node.RecordCompletion(func() poisonpill.Fingerprint { return fingerprintOf(run.itemRun) })
+		if outcome == jobrunner.Finished { // an engine may reject an item without having begun it
+			worker.Node.RecordCompletion(func() poisonpill.Fingerprint { return fingerprintOf(run.itemRun) })
+		}
 	case jobrunner.Interrupted:
 		worker.Node.RecordFailure(run.engine)
 	case jobrunner.Preempted, jobrunner.NotExecuted: // a preemption is no failure, and runItem has recorded that an engine did not execute the item
@@ -335,6 +327,7 @@
 	telemetry.Items.Add(outcome.String(), 1)
 	telemetry.ItemTime.Observe(outcome.String(), time.Since(run.started))
 	telemetry.EngineResults.Add(run.engine.ID+" item "+outcome.String(), 1)
+	worker.returnTrial(run, outcome)
 	worker.Log.Info("item run", zap.String("job", run.itemRun.Job.ID), zap.String("request", run.itemRun.Item.ID), zap.String("engine", run.engine.ID),
 		zap.Stringer("verdict", outcome), zap.Int("events", len(progress.Data)), zap.Duration("took", time.Since(run.started)), telemetry.NamedErr("cause", cause), fingerprintField(run.itemRun, outcome))
 	worker.runner.RecordOutcome(time.Now(), run.itemRun, outcome, progress)
