store: a view that catches up after a gap no longer passes for current

Callers got a page without results at a position whose result they had read elsewhere more than a second before, at a process whose first listing had just ended.

Cause: a watch was taken to return all changes up to its start. After a gap, as after a listing of 5 s, it may return only a part of them, so that the process needs several watches, 400 ms apart, until it has them all, while the age of its view already counts from the latest of them.

Now, where the view is more than 1.3 s old when a watch starts, the follower reads the revision of the store first, with an empty page of a listing, and then watches without a pause until the view has reached it. Until then the view keeps its older age. Cost: one read for each such gap of a process that reads the store itself.

TestViewAge/partial_watch failed before: the view was dated 5.01 s with the first of three parts of the changes.

--- a/io/store/asof_test.go
+++ b/io/store/asof_test.go
@@ -60,8 +60,12 @@
 	return items, revision
 }
 
-func (driver *scriptedDriver) List(_ context.Context, prefix, _ string) (items []Item, more bool, revision int64, err error) {
-	arguments, err := driver.respond("list " + prefix)
+func (driver *scriptedDriver) List(_ context.Context, prefix, after string) (items []Item, more bool, revision int64, err error) {
+	call := "list " + prefix
+	if after != "" {
+		call += " after=" + after
+	}
+	arguments, err := driver.respond(call)
 	items, revision = driver.items(arguments)
 	return items, false, revision, err
 }
--- a/io/store/follow.go
+++ b/io/store/follow.go
@@ -16,6 +16,8 @@
 	readerRetryDelay = 3 * time.Second
 	// maxSilence is how long the store may report no changes before it discards its history.
 	maxSilence = time.Second
+	// maxWatchGap is the age of the view above which a watch is not expected to return all changes.
+	maxWatchGap = 1300 * time.Millisecond
 )
 
 // Update holds changes of keys, or a listing of all keys below a prefix. A view of the store consists of all updates handled
@@ -64,8 +66,13 @@
 	// OnListed is called after each listing. It may be nil.
 	OnListed func(Listing)
 
-	asOf          time.Time // Update.AsOf of the last update
-	relistCause   error     // why all keys have to be listed again
+	asOf        time.Time // Update.AsOf of the last update
+	relistCause error     // why all keys have to be listed again
+	// While the follower catches up after a gap, its watches may return only a part of the changes. The view reflects the
+	// time goalAt once it is at revision goal. goal is 0 if the follower is not catching up.
+	goal   int64
+	goalAt time.Time
+
 	source        string    // peer that the last changes came from; empty: the store
 	readerRetryAt time.Time // the store is read directly until then
 }
@@ -91,8 +98,12 @@
 				follower.readerRetryAt = started.Add(readerRetryDelay)
 				follower.setSource("", err)
 			}
+			previous := revision
 			revision = follower.watch(ctx, revision)
 			follower.setSource("", nil)
+			if follower.goal != 0 && revision > previous {
+				continue
+			}
 		}
 		timer := time.NewTimer(max(0, follower.Pace-time.Since(started)))
 		select {
@@ -143,10 +154,22 @@
 // listed again.
 func (follower *Follower) watch(ctx context.Context, revision int64) int64 {
 	started := time.Now()
+	certain := true // whether it is known how many changes there are
+	if follower.goal == 0 && started.Sub(follower.asOf) > maxWatchGap {
+		goal, err := follower.Store.Revision(ctx, follower.Prefixes[0])
+		follower.goal, follower.goalAt, certain = goal, started, err == nil
+	}
 	items, current, err := follower.Store.Watch(ctx, "", revision, follower.Wait)
 	switch {
 	case err == nil && current >= revision:
-		follower.handle(Update{Items: items, Revision: current, AsOf: started, Source: "watch"})
+		update := Update{Items: items, Revision: current, AsOf: started, Source: "watch"}
+		switch {
+		case !certain || current < follower.goal:
+			update.AsOf, update.Source = follower.asOf, "incomplete watch"
+		case follower.goal != 0:
+			update.AsOf, follower.goal = follower.goalAt, 0
+		}
+		follower.handle(update)
 		return current
 	case err == nil || errors.Is(err, ErrCompacted):
 		// The store has returned to an older revision or has compacted its history, so the watch can't report
@@ -193,12 +216,14 @@
 	case response.Age >= maxFeedAge:
 		return 0, errors.Errorf("feed is stale: %s old", response.Age)
 	}
+	follower.goal = 0
 	follower.update(Update{Items: response.Items, Revision: response.Revision, AsOf: started.Add(response.Waited - response.Age), Source: "feed of " + reader})
 	return response.Revision, nil
 }
 
 // list reads all keys and returns the revision to watch from, or 0 if the store failed.
 func (follower *Follower) list(ctx context.Context) (revision int64) {
+	follower.goal = 0
 	if follower.Feed != nil {
 		follower.Feed.close()
 	}
--- a/io/store/store.go
+++ b/io/store/store.go
@@ -174,6 +174,16 @@
 	return items, revision, nil
 }
 
+// Revision returns the revision of the store. It reads an empty page of the keys below prefix, which must not contain a key
+// that sorts after prefix and a tilde.
+func (store *Store) Revision(ctx context.Context, prefix string) (revision int64, err error) {
+	err = store.do(ctx, "list", store.Timeout, func(ctx context.Context) (err error) {
+		_, _, revision, err = store.Driver.List(ctx, prefix, prefix+"~")
+		return err
+	})
+	return revision, err
+}
+
 // Watch returns the changes below prefix after revision. It waits for the first one for at most wait.
 func (store *Store) Watch(ctx context.Context, prefix string, revision int64, wait time.Duration) (items []Item, current int64, err error) {
 	err = store.do(ctx, "watch", wait+store.Timeout, func(ctx context.Context) (err error) {
