entry: a quarantine no longer hides what ran under an idempotency key

Callers saw 422 "poison (not_run)" for an idempotency key whose request had run: the first answer to the key was 502 may_have_run, and after the same request had been quarantined under another key, the same key was answered with not_run. A caller that trusts not_run may then do by other means what has been done already.

Cause: the quarantine was checked before the claim of the key was read.

The claim is read first now. What it records is answered as before; the quarantine is checked only where the next step is an attempt, that is for a key without a claim or with one whose attempt the target daemon has fenced, so not_run is true. With the store away, a quarantined request with a key gets 503 store_unavailable, like any other with a key.

--- a/internal/processes/script_test.go
+++ b/internal/processes/script_test.go
@@ -353,12 +353,16 @@
 	return fmt.Sprintf("WRONG: done=%v all_tokens=%v failed=%v", done, allTokens, failed)
 }
 
-// send sends a non-idempotent request. With async it returns when an engine has started to execute the request.
+// send sends a non-idempotent request, which the argument place restricts to a place. With async it returns when an engine has
+// started to execute the request.
 func (runner *runner) send() string {
 	header := http.Header{}
 	if key := runner.stringArg("key", ""); key != "" {
 		header.Set(caller.IdempotencyKeyHeader, key)
 	}
+	if place := runner.stringArg("place", ""); place != "" {
+		header.Set(caller.PlaceHeader, place)
+	}
 	text := runner.stringArg("text", "notice")
 	if runner.data.HasArg("async") {
 		go runner.call(runner.entry(), http.MethodPost, "/services/"+plainService+"/send", callerKey, header, []byte(text))
--- a/io/process/entry/idempotency.go
+++ b/io/process/entry/idempotency.go
@@ -61,6 +61,10 @@
 			return failure
 		}
 	}
+	// The quarantine counts only now: a request that was sent under this key before may have run.
+	if failure := entry.rejectQuarantined(call); failure != nil {
+		return failure
+	}
 	return keyed.run(session)
 }
 
--- a/io/process/entry/serve.go
+++ b/io/process/entry/serve.go
@@ -238,18 +238,26 @@
 	if ok, retryAfter := entry.rateLimiter.Allow(session.started, call.account, call.tokens); !ok {
 		return caller.OutcomeError(request.Outcome{Disposition: request.NotRun, Reason: request.ReasonAccountLimit, RetryAfter: retryAfter})
 	}
-	if _, quarantined := entry.suspects.status(call.fingerprint); quarantined {
-		return caller.OutcomeError(request.Outcome{Disposition: request.NotRun, Reason: request.ReasonPoisonPill})
-	}
 	if key := session.iris.GetHeader(caller.IdempotencyKeyHeader); key != "" && !call.idempotent {
 		return entry.serveAtMostOnce(session, call, key)
 	}
+	if failure := entry.rejectQuarantined(call); failure != nil {
+		return failure
+	}
 	if stream {
 		return entry.serveStream(session, call)
 	}
 	return entry.serveBuffered(session, call)
 }
 
+// rejectQuarantined returns an error if the call is a poison pill. It says that the call has not run.
+func (entry *Entry) rejectQuarantined(call *call) *caller.Error {
+	if _, quarantined := entry.suspects.status(call.fingerprint); !quarantined {
+		return nil
+	}
+	return caller.OutcomeError(request.Outcome{Disposition: request.NotRun, Reason: request.ReasonPoisonPill})
+}
+
 // serveBuffered serves a call whose response is sent only once it is complete, so that a failed attempt can be retried.
 func (entry *Entry) serveBuffered(session *session, call *call) *caller.Error {
 	receiver := &bufferedReceiver{}
