entry: requests that differ in method or query are different requests

Callers that used an idempotency key again with another query or method got 200 with the stored response of the other request, in place of 422 idempotency_key_reused.

Cause: the fingerprint was taken when the call was created, before the query was added to its path, and did not include the method.

The fingerprint is taken of the complete call now, where it is served. For POST without a query it has the same value as before, so claims and quarantines that an earlier version wrote stay valid for these. A request with a query or another method whose key was claimed by an earlier version is answered 422 idempotency_key_reused until the claim expires.

The script key_reuse failed before on its second step (expected "422 not_run idempotency_key_reused", found "200 done"); its part about the quarantine, run alone, failed as well (expected "502 may_have_run engine_lost", found "422 not_run poison").

--- a/internal/processes/script_test.go
+++ b/internal/processes/script_test.go
@@ -363,16 +363,19 @@
 	if place := runner.stringArg("place", ""); place != "" {
 		header.Set(caller.PlaceHeader, place)
 	}
-	text := runner.stringArg("text", "notice")
+	method, path, text := runner.stringArg("method", http.MethodPost), "/services/"+plainService+"/send", runner.stringArg("text", "notice")
+	if query := runner.stringArg("query", ""); query != "" {
+		path += "?" + query
+	}
 	if runner.data.HasArg("async") {
-		go runner.call(runner.entry(), http.MethodPost, "/services/"+plainService+"/send", callerKey, header, []byte(text))
+		go runner.call(runner.entry(), method, path, callerKey, header, []byte(text))
 		runner.fleet.await("the request to be executed", func() bool {
 			counts := runner.fleet.executions()
 			return counts[xxhash.Sum64String(text)] > 0
 		})
 		return "ok\n"
 	}
-	status, response, headers := runner.call(runner.entry(), http.MethodPost, "/services/"+plainService+"/send", callerKey, header, []byte(text))
+	status, response, headers := runner.call(runner.entry(), method, path, callerKey, header, []byte(text))
 	if runner.data.HasArg("disposition") {
 		return headers.Get(caller.DispositionHeader) + "\n"
 	}
--- a/io/process/entry/dispatch.go
+++ b/io/process/entry/dispatch.go
@@ -27,12 +27,12 @@
 	version     int64 // of the configuration that the call was created with
 	class       request.Class
 	method      string
-	path        string
+	path        string // with the query
 	headers     []peer.Header
 	body        []byte
 	tokens      int64  // estimate for prompt and response
 	prefix      uint64 // hash of the first blocks of the prompt; 0 disables affinity
-	fingerprint uint64 // of account, service, path and body
+	fingerprint uint64 // of account, service, method, path and body
 	idempotent  bool
 	weight      float64  // weight of the account for the service
 	places      []string // permitted places, nearest first
--- a/io/process/entry/items.go
+++ b/io/process/entry/items.go
@@ -97,24 +97,25 @@
 	if !service.Permits(granted.view.place) || !account.MayRunIn(granted.view.place) {
 		return nil, caller.InvalidRequest(http.StatusForbidden, "forbidden_place", "place is no longer permitted for this account and service")
 	}
-	return &call{
-		id:          itemID(job, segment.number, item.Number),
-		account:     account,
-		service:     service,
-		version:     current.Version,
-		class:       request.Batch,
-		method:      http.MethodPost,
-		path:        item.Path,
-		headers:     []peer.Header{{Name: "Content-Type", Value: "application/json"}},
-		body:        item.Body,
-		tokens:      itemTokens(item),
-		fingerprint: fingerprint(job.Account, item.Service, item.Path, item.Body),
-		idempotent:  item.Idempotent,
-		weight:      current.Weight(job.Account, item.Service),
-		deadline:    time.Now().Add(itemTimeout),
-		grantID:     granted.grant,
-		jobID:       job.ID,
-	}, nil
+	itemCall = &call{
+		id:         itemID(job, segment.number, item.Number),
+		account:    account,
+		service:    service,
+		version:    current.Version,
+		class:      request.Batch,
+		method:     http.MethodPost,
+		path:       item.Path,
+		headers:    []peer.Header{{Name: "Content-Type", Value: "application/json"}},
+		body:       item.Body,
+		tokens:     itemTokens(item),
+		idempotent: item.Idempotent,
+		weight:     current.Weight(job.Account, item.Service),
+		deadline:   time.Now().Add(itemTimeout),
+		grantID:    granted.grant,
+		jobID:      job.ID,
+	}
+	itemCall.fingerprint = fingerprint(itemCall)
+	return itemCall, nil
 }
 
 // itemTokens returns the estimated number of prompt and output tokens of an item.
--- a/io/process/entry/serve.go
+++ b/io/process/entry/serve.go
@@ -186,19 +186,18 @@
 		return nil, failure
 	}
 	return &call{
-		id:          session.id,
-		account:     session.account,
-		service:     service,
-		version:     session.configuration.Version,
-		class:       request.Online,
-		method:      session.iris.Method(),
-		path:        path,
-		body:        body,
-		fingerprint: fingerprint(session.account.Name, serviceName, path, body),
-		idempotent:  service.Idempotent(path),
-		weight:      session.configuration.Weight(session.account.Name, serviceName),
-		places:      places,
-		deadline:    session.started.Add(timeout),
+		id:         session.id,
+		account:    session.account,
+		service:    service,
+		version:    session.configuration.Version,
+		class:      request.Online,
+		method:     session.iris.Method(),
+		path:       path,
+		body:       body,
+		idempotent: service.Idempotent(path),
+		weight:     session.configuration.Weight(session.account.Name, serviceName),
+		places:     places,
+		deadline:   session.started.Add(timeout),
 	}, nil
 }
 
@@ -221,20 +220,28 @@
 	return places, nil
 }
 
-// fingerprint returns a hash that identifies a request. It is the same at all entries and when the request is sent again.
-func fingerprint(account, service, path string, body []byte) uint64 {
+// fingerprint returns a hash that identifies the request of a call. It is the same at all entries and when the request is sent
+// again.
+func fingerprint(call *call) uint64 {
+	parts := []string{call.account.Name, call.service.Name, call.path}
+	if call.method != http.MethodPost {
+		// No account has an empty name, so no request with POST has the same hash. Requests with POST keep the hash that
+		// claims of earlier versions hold.
+		parts = append([]string{"", call.method}, parts...)
+	}
 	digest := xxhash.New()
-	for _, part := range []string{account, service, path} {
+	for _, part := range parts {
 		_, _ = digest.WriteString(part)
 		_, _ = digest.Write([]byte{0})
 	}
-	_, _ = digest.Write(body)
+	_, _ = digest.Write(call.body)
 	return digest.Sum64()
 }
 
 // serveCall rejects a call that exceeds the account's rate limits or is a poison pill; otherwise it sends the call to a target
 // and the response to the caller.
 func (entry *Entry) serveCall(session *session, call *call, stream bool) *caller.Error {
+	call.fingerprint = fingerprint(call)
 	if ok, retryAfter := entry.rateLimiter.Allow(session.started, call.account, call.tokens); !ok {
 		return caller.OutcomeError(request.Outcome{Disposition: request.NotRun, Reason: request.ReasonAccountLimit, RetryAfter: retryAfter})
 	}
