entry: only ends of target daemons count for a quarantine

Cause: each attempt without a response over a lost connection counted as the crash of a VM, and as one while the request ran alone if the request was a suspect by then, also where several attempts or several suspects were at the daemon.

A lost connection still makes a request a suspect, as before. Each incarnation counts once against a request, only for an attempt that began after the previous loss of the request, not if several suspects of this entry were at the daemon, and not if the daemon was draining or leaving. The score needed is unchanged.

--- a/core/coordination/poisonpill/tracker.go
+++ b/core/coordination/poisonpill/tracker.go
@@ -39,6 +39,7 @@
 
 type suspect struct {
 	score   int
+	crashed time.Time // time of the last crash recorded here; zero if there was none
 	expires time.Time
 }
 
@@ -65,7 +66,7 @@
 	} else {
 		record.score += int(crash)
 	}
-	record.expires = now.Add(suspectLifetime)
+	record.crashed, record.expires = now, now.Add(suspectLifetime)
 	if alone && record.score >= quarantineScore {
 		tracker.Quarantine(now, fingerprint)
 		return true
@@ -74,6 +75,13 @@
 	return false
 }
 
+// LastCrash returns the time of the last crash recorded for a request since it last completed, zero if there was none.
+func (tracker *Tracker) LastCrash(fingerprint uint64) time.Time {
+	tracker.init()
+	record, _ := tracker.suspects.Peek(fingerprint)
+	return record.crashed
+}
+
 // AddSuspect adds a suspect that another process reported. It reports false if the request was a suspect already.
 func (tracker *Tracker) AddSuspect(now time.Time, fingerprint uint64) (added bool) {
 	tracker.init()
--- a/internal/processes/script_test.go
+++ b/internal/processes/script_test.go
@@ -353,8 +353,8 @@
 	return fmt.Sprintf("WRONG: done=%v all_tokens=%v failed=%v", done, allTokens, failed)
 }
 
-// send sends a non-idempotent request, which the argument place restricts to a place. With async it returns when an engine has
-// started to execute the request.
+// send sends a non-idempotent request, which the argument place restricts to a place. With async it returns when the engines have
+// started to execute the request once more.
 func (runner *runner) send() string {
 	header := http.Header{}
 	if key := runner.stringArg("key", ""); key != "" {
@@ -368,10 +368,11 @@
 		path += "?" + query
 	}
 	if runner.data.HasArg("async") {
+		want := runner.fleet.executions()[xxhash.Sum64String(text)] + 1
 		go runner.call(runner.entry(), method, path, callerKey, header, []byte(text))
 		runner.fleet.await("the request to be executed", func() bool {
 			counts := runner.fleet.executions()
-			return counts[xxhash.Sum64String(text)] > 0
+			return counts[xxhash.Sum64String(text)] >= want
 		})
 		return "ok\n"
 	}
--- a/io/process/entry/connections.go
+++ b/io/process/entry/connections.go
@@ -17,6 +17,8 @@
 	online [onlineConnections]*peer.Client
 	batch  *peer.Client
 
+	incarnation string // of the daemon, as in its handshake
+
 	next atomic.Uint32 // number of times that clientFor has returned a client of online; these are used in turn
 }
 
--- a/io/process/entry/daemon.go
+++ b/io/process/entry/daemon.go
@@ -34,6 +34,7 @@
 	lastReport  atomic.Int64                   // Unix nanoseconds at which the last report was received
 	connections atomic.Pointer[connections]    // nil while disconnected
 	handshake   atomic.Pointer[peer.Handshake] // latest one of the daemon, nil before the first
+	losses      losses
 
 	// The fields below are used by the control goroutine only.
 	name      string
@@ -69,6 +70,7 @@
 		started := time.Now()
 		err := daemon.connect(ctx)
 		daemon.connections.Store(nil)
+		daemon.countLosses(daemon.losses.unreachable(time.Now()))
 		daemon.entry.send(disconnectedEvent{daemon: daemon, err: err})
 		if time.Since(started) > maxReconnectDelay {
 			attempt = 1
@@ -78,6 +80,8 @@
 		case <-time.After(retry.Backoff(random, baseReconnectDelay, maxReconnectDelay, attempt)):
 		}
 	}
+	// The daemon is not reached again: the platform no longer lists its VM, or this process ends.
+	daemon.countLosses(daemon.losses.reached(time.Now(), ""))
 }
 
 // connect opens the connections to the daemon and serves the control stream until one of them ends.
@@ -136,8 +140,10 @@
 // activate makes the daemon usable for requests over conns after its handshake was received. It returns a view of each of
 // its targets by target name.
 func (daemon *targetDaemon) activate(conns *connections, handshake peer.Handshake) (views map[string]*targetView) {
+	conns.incarnation = handshake.Incarnation
 	daemon.lastReport.Store(time.Now().UnixNano())
 	daemon.connections.Store(conns)
+	daemon.countLosses(daemon.losses.reached(time.Now(), conns.incarnation))
 	daemon.handshake.Store(&handshake)
 	daemon.version.Store(handshake.Version)
 	views = map[string]*targetView{}
--- a/io/process/entry/dispatch.go
+++ b/io/process/entry/dispatch.go
@@ -8,7 +8,6 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
-	"cowslipway/core/coordination/poisonpill"
 	"cowslipway/core/coordination/retry"
 	"cowslipway/core/coordination/routing"
 	"cowslipway/core/state/config"
@@ -132,12 +131,19 @@
 	run := newRun(call, attempt)
 	entry.history.Begin(run)
 	entry.history.Start(run.AttemptID)
-	outcome, end = sendAttempt(ctx, attempt, call.body, view, receiver)
+	conns := view.daemon.connections.Load()
+	outcome, end = sendAttempt(ctx, attempt, call.body, conns, view, receiver)
 	entry.history.End(run.AttemptID, outcome, time.Now())
 	if end.Load.Target == view.name {
 		view.recordLoad(end.Load)
 	}
-	entry.updateSuspects(call.fingerprint, suspect, outcome)
+	if outcome.Disposition == request.MayHaveRun && outcome.Reason == request.ReasonTargetLost {
+		if entry.suspects.recordLoss(call.fingerprint, suspect, run.Started) && !view.leaving() {
+			view.daemon.recordLoss(call.fingerprint, conns)
+		}
+	} else {
+		entry.updateSuspects(call.fingerprint, suspect, outcome)
+	}
 	span.SetAttributes(attribute.String("disposition", outcome.Disposition.String()))
 	return outcome, end
 }
@@ -184,10 +190,9 @@
 	}
 }
 
-// sendAttempt sends an attempt to the target daemon of view and forwards the response to receiver. end is the last frame of
-// the response, zero if none was received.
-func sendAttempt(ctx context.Context, attempt peer.Attempt, body []byte, view *targetView, receiver receiver) (outcome request.Outcome, end peer.End) {
-	conns := view.daemon.connections.Load()
+// sendAttempt sends an attempt over conns to the target daemon of view and forwards the response to receiver. end is the last
+// frame of the response, zero if none was received. conns is nil if the daemon is not connected.
+func sendAttempt(ctx context.Context, attempt peer.Attempt, body []byte, conns *connections, view *targetView, receiver receiver) (outcome request.Outcome, end peer.End) {
 	if conns == nil {
 		return request.Outcome{Disposition: request.NotRun, Reason: request.ReasonTargetLost}, peer.End{}
 	}
@@ -247,7 +252,5 @@
 	case outcome.Reason == request.ReasonEngineLost:
 		// The daemon records the crash; here the request only becomes a suspect, so that the next attempt is sent as one.
 		entry.suspects.merge([]uint64{fingerprint}, nil)
-	case outcome.Reason == request.ReasonTargetLost:
-		entry.suspects.recordCrash(fingerprint, poisonpill.VMCrash, suspect)
 	}
 }
--- a/io/process/entry/fleet.go
+++ b/io/process/entry/fleet.go
@@ -49,6 +49,12 @@
 	view.load.Store(&receivedLoad{Load: load, received: time.Now(), outstandingAtReceipt: int(view.outstanding.Load())})
 }
 
+// leaving reports whether the target is expected to end soon: it drains, or the platform lists its VM as leaving.
+func (view *targetView) leaving() bool {
+	last := view.load.Load()
+	return view.daemon.retiring.Load() || last != nil && last.Draining
+}
+
 // candidate returns the target as a candidate for routing.
 func (view *targetView) candidate(now time.Time, excluded bool) routing.Candidate {
 	candidate := routing.Candidate{
--- a/io/process/entry/suspects.go
+++ b/io/process/entry/suspects.go
@@ -44,6 +44,17 @@
 	})
 }
 
+// recordLoss records that a request was in flight when its target was lost, which makes it a suspect but cannot quarantine it.
+// suspect is true if the attempt, which began at began, was sent as that of a suspect. It reports whether the loss came after
+// the previous one of the request and with it as a suspect, so that it counts for a quarantine if the target has ended.
+func (suspects *suspects) recordLoss(fingerprint uint64, suspect bool, began time.Time) (counts bool) {
+	suspects.locked(func(_ time.Time, tracker *poisonpill.Tracker) {
+		counts = suspect && began.After(tracker.LastCrash(fingerprint))
+	})
+	suspects.recordCrash(fingerprint, poisonpill.VMCrash, false)
+	return counts
+}
+
 // quarantine records that a target daemon has quarantined a request.
 func (suspects *suspects) quarantine(fingerprint uint64) { suspects.merge(nil, []uint64{fingerprint}) }
 
