entry: a quarantined request is not sent again as an item or a retry

A request that had been quarantined ended further engines when it came again as an item of a batch job: one for each target daemon that had started since, up to the attempts of the item. Callers whose work ran on these engines lost it.

Cause: an entry looked at the quarantine where it accepted an online request. Items, and further attempts of a request that was quarantined meanwhile, were sent on, and only target daemons that knew of the quarantine turned them away. They are told once, so one that has started since does not know, and ran the request as one without suspicion.

The entry looks at the quarantine before each attempt now. Such an item ends with the error "poison (not_run)". The grant of the item is not used and expires.

The script poison_item failed before on its last step: of two engines that had been started again, none was left after the job ("0 of 2").

--- a/internal/processes/script_test.go
+++ b/internal/processes/script_test.go
@@ -118,6 +118,8 @@
 		process := fleet.processes[runner.stringArg("name", "")]
 		<-process.exited
 		return fmt.Sprintf("code %d\n", process.command.ProcessState.ExitCode())
+	case "running":
+		return runner.running()
 	case "store_fault":
 		runner.setStoreFault()
 	case "retire_vm":
@@ -586,6 +588,19 @@
 	return "ok\n"
 }
 
+// running returns how many of the processes named in the input have not exited.
+func (runner *runner) running() string {
+	names, running := fields(runner.data.Input), 0
+	for _, name := range names {
+		select {
+		case <-runner.fleet.processes[name].exited:
+		default:
+			running++
+		}
+	}
+	return fmt.Sprintf("%d of %d\n", running, len(names))
+}
+
 // setStoreFault replaces the fault of the platform's store. Without the arguments down, drop_responses and slow, it clears the
 // fault.
 func (runner *runner) setStoreFault() {
--- a/io/process/entry/dispatch.go
+++ b/io/process/entry/dispatch.go
@@ -118,11 +118,15 @@
 	return views[chosen], request.Outcome{}
 }
 
-// attempt sends a call to the target of view once and forwards the response to receiver.
+// attempt sends a call to the target of view once and forwards the response to receiver. It does not send a call that has been
+// quarantined since it was accepted, since the target daemon may not know of that.
 func (entry *Entry) attempt(ctx context.Context, call *call, view *targetView, receiver receiver) (outcome request.Outcome, end peer.End) {
+	suspect, quarantined := entry.suspects.status(call.fingerprint)
+	if quarantined {
+		return request.Outcome{Disposition: request.NotRun, Reason: request.ReasonPoisonPill}, peer.End{}
+	}
 	ctx, span := entry.Tracer.Start(ctx, "entry.attempt", trace.WithAttributes(attribute.String("target", view.name)))
 	defer span.End()
-	suspect, _ := entry.suspects.status(call.fingerprint)
 	attempt := entry.newAttempt(ctx, call, view)
 	attempt.Suspect = suspect
 	entry.metrics.attempts.Add(1)
