node, upstream: a long stream that progresses is not quarantined; checks leave no connections

An online stream met the ends of three engines after more than 20 events at each, and was taken for their cause: the limit of 8 events, from which on an end does not count, applied to items only. It applies to both now.

The second check of an engine that had broken off a response and lives kept its connection, beside the first one. An engine accepts a limited number from all processes, and resets those beyond it. The second check closes it now.

--- a/io/process/node/quarantine.go
+++ b/io/process/node/quarantine.go
@@ -40,9 +40,12 @@
 	recheckDelay = 100 * time.Millisecond
 	// confirmWithin is the time in which an engine that has ended is back and listed as a new incarnation.
 	confirmWithin = 10 * time.Second
-	maxBrokenRuns = 256         // runs for which the end of their engine may still be confirmed
-	shareTimeout  = time.Second // of one attempt to tell a peer
-	shareAttempts = 3           // a peer that was not told by then reads the store
+	// maxSuspectEvents is the number of events of a run from which on the end of its engine does not count against the request:
+	// a request that ends its engines does so when it begins to run, and a long run meets the ends that others cause.
+	maxSuspectEvents = 8
+	maxBrokenRuns    = 256         // runs for which the end of their engine may still be confirmed
+	shareTimeout     = time.Second // of one attempt to tell a peer
+	shareAttempts    = 3           // a peer that was not told by then reads the store
 	// sweepAfter is the age of the records of suspicions that are removed from the store: clocks of VMs differ by up to 5 s.
 	sweepAfter = poisonpill.EndLifetime + 10*time.Second
 )
@@ -119,6 +122,9 @@
 // against the request. An engine that accepts a connection is taken to be alive, unless it refuses one a moment later, or a new
 // incarnation is listed at its address soon after.
 func (node *Node) CheckEngineEnd(ctx context.Context, run EngineRun) {
+	if run.Events >= maxSuspectEvents {
+		return
+	}
 	broken := brokenRun{EngineRun: run, at: time.Now()}
 	err := node.Upstream.Dial(ctx, run.Engine.Address)
 	switch {
@@ -135,7 +141,7 @@
 		return // an engine that a request ends has seldom sent an event by then
 	}
 	time.AfterFunc(recheckDelay, func() {
-		if err := node.Upstream.Dial(context.WithoutCancel(ctx), run.Engine.Address); errors.Is(err, syscall.ECONNREFUSED) {
+		if err := node.Upstream.Probe(context.WithoutCancel(ctx), run.Engine.Address); errors.Is(err, syscall.ECONNREFUSED) {
 			node.quarantine.confirmEnds(err.Error(), func(other brokenRun) bool { return other == broken })
 		}
 	})
--- a/io/process/node/quarantine_test.go
+++ b/io/process/node/quarantine_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -93,3 +96,37 @@
 		t.Errorf("%d ends wait for the store, want the one after the clearance", len(node.quarantine.unsaved))
 	}
 }
+
+// TestChecksKeepFewConnections checks that an engine that breaks off responses and lives is not left with more open connections
+// after each check: an engine accepts a limited number from all processes, and resets those beyond it.
+func TestChecksKeepFewConnections(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	var open atomic.Int32
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			open.Add(1)
+			go func() {
+				_, _ = io.Copy(io.Discard, conn)
+				open.Add(-1)
+			}()
+		}
+	}()
+	node := newTestNode()
+	const resets = 10
+	for number := range resets {
+		fingerprint := poisonpill.FingerprintOf("POST", "host", fmt.Sprint("/", number), nil)
+		node.CheckEngineEnd(context.Background(), EngineRun{Engine: fleet.Engine{ID: "e", Address: listener.Addr().String()}, Fingerprint: fingerprint, Sent: time.Now()})
+	}
+	time.Sleep(5 * recheckDelay)
+	if count := open.Load(); count > resets {
+		t.Errorf("%d connections are open after %d responses were broken off, want at most one for each that the engine closed", count, resets)
+	}
+}
--- a/io/process/worker/item.go
+++ b/io/process/worker/item.go
@@ -22,10 +22,6 @@
 // other requests still sends one within one to two seconds.
 const idleTimeout = 2500 * time.Millisecond
 
-// maxSuspectEvents is the number of events from which on the end of an engine does not count against the item that it ran.
-// Items run for seconds beside others, and an item that ends its engines does so when it begins to run.
-const maxSuspectEvents = 8
-
 // runItem runs an item at engine from its last event on, until it ends or parent is cancelled. It returns the item's
 // progress over all its runs, and the cause of a run that did not finish the item.
 func (worker *Worker) runItem(parent context.Context, itemRun jobrunner.ItemRun, engine fleet.Engine) (outcome jobrunner.Outcome, progress jobrecord.Progress, cause error) {
@@ -38,7 +34,7 @@
 	defer func() {
 		brokenOff := outcome == jobrunner.Interrupted && ctx.Err() == nil // by the engine
 		events := len(progress.Data) - len(itemRun.Progress.Data)
-		if brokenOff && events < maxSuspectEvents {
+		if brokenOff {
 			worker.Node.CheckEngineEnd(ctx, node.EngineRun{Engine: engine, RequestID: itemRun.Item.ID, Fingerprint: fingerprintOf(itemRun), Sent: sent, Events: events})
 		}
 	}()
--- a/io/transport/upstream/pool.go
+++ b/io/transport/upstream/pool.go
@@ -209,6 +209,16 @@
 	return nil
 }
 
+// Probe opens a new connection to the engine at address and closes it. It fails if the engine does not accept one.
+func (pool *Pool) Probe(ctx context.Context, address string) (err error) {
+	defer func() { err = errors.Annotatef(err, "connecting to engine %s", address) }()
+	opened, err := pool.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	return opened.Close()
+}
+
 // takeIdle removes an idle connection from the pool and returns it, or nil if there is none. It closes expired connections.
 func (pool *Pool) takeIdle(address string) (found *connection) {
 	pool.mutex.Lock()
