entry: a quarantine is stored once the store can be reached

A request that was quarantined while the store was away was run again after the entries and target daemons that knew of it had been restarted: it ended two more engines before it was quarantined again, and other callers lost what ran there.

Cause: a quarantined request was taken off the list before it was written, and an error of the write was ignored.

The list of requests that are still to be stored is separate now.

The script poison_store_away failed before: with the store up again, it timed out waiting for a quarantined request in the store.

--- a/internal/processes/script_test.go
+++ b/internal/processes/script_test.go
@@ -118,6 +118,8 @@
 		process := fleet.processes[runner.stringArg("name", "")]
 		<-process.exited
 		return fmt.Sprintf("code %d\n", process.command.ProcessState.ExitCode())
+	case "await_quarantine_stored":
+		runner.awaitQuarantineStored()
 	case "running":
 		return runner.running()
 	case "store_fault":
@@ -601,6 +603,15 @@
 	return fmt.Sprintf("%d of %d\n", running, len(names))
 }
 
+// awaitQuarantineStored waits until the store holds a quarantined request.
+func (runner *runner) awaitQuarantineStored() {
+	store := etcd.NewStore("http://"+runner.fleet.processes["platform"].address, 0)
+	runner.fleet.await("a quarantined request in the store", func() bool {
+		found, err := store.List(runner.fleet.t.Context(), etcd.OtherCall, etcd.PoisonPillPrefix, "", 1, true)
+		return err == nil && len(found.KVs) > 0
+	})
+}
+
 // setStoreFault replaces the fault of the platform's store. Without the arguments down, drop_responses and slow, it clears the
 // fault.
 func (runner *runner) setStoreFault() {
--- a/io/process/entry/control.go
+++ b/io/process/entry/control.go
@@ -91,9 +91,6 @@
 func (control *control) heartbeat() {
 	control.lastHeartbeat = control.now
 	suspects, quarantined := control.entry.suspects.takeUnsent()
-	if len(quarantined) > 0 {
-		go control.entry.storeQuarantined(quarantined)
-	}
 	cancelled := control.cancelledJobs()
 	for _, daemon := range control.daemons {
 		daemon.trySend(peer.Heartbeat{
--- a/io/process/entry/suspects.go
+++ b/io/process/entry/suspects.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -12,7 +13,8 @@
 	mutex             sync.Mutex
 	tracker           poisonpill.Tracker
 	unsentSuspects    []uint64 // not yet sent to target daemons
-	unsentQuarantined []uint64 // not yet sent to target daemons nor written to the store
+	unsentQuarantined []uint64 // not yet sent to target daemons
+	unstored          []uint64 // quarantined and not yet written to the store
 }
 
 // locked calls work with the tracker while holding the mutex.
@@ -36,6 +38,7 @@
 	suspects.locked(func(now time.Time, tracker *poisonpill.Tracker) {
 		if tracker.RecordCrash(now, fingerprint, crash, alone) {
 			suspects.unsentQuarantined = append(suspects.unsentQuarantined, fingerprint)
+			suspects.unstored = append(suspects.unstored, fingerprint)
 			return
 		}
 		if tracker.Suspect(now, fingerprint) {
@@ -78,6 +81,7 @@
 		for _, fingerprint := range quarantined {
 			if tracker.Quarantine(now, fingerprint) {
 				suspects.unsentQuarantined = append(suspects.unsentQuarantined, fingerprint)
+				suspects.unstored = append(suspects.unstored, fingerprint)
 			}
 		}
 	})
@@ -91,3 +95,17 @@
 	suspects.unsentSuspects, suspects.unsentQuarantined = nil, nil
 	return suspected, quarantined
 }
+
+// firstUnstored returns up to limit quarantined fingerprints that are not yet in the store.
+func (suspects *suspects) firstUnstored(limit int) (fingerprints []uint64) {
+	suspects.mutex.Lock()
+	defer suspects.mutex.Unlock()
+	return slices.Clone(suspects.unstored[:min(limit, len(suspects.unstored))])
+}
+
+// stored removes the first count fingerprints that firstUnstored returned, which are in the store now.
+func (suspects *suspects) stored(count int) {
+	suspects.mutex.Lock()
+	defer suspects.mutex.Unlock()
+	suspects.unstored = suspects.unstored[count:]
+}
--- a/io/process/entry/watch.go
+++ b/io/process/entry/watch.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/juju/errors"
 	"go.uber.org/zap"
 
 	"cowslipway/core/state/openaibatch"
@@ -18,6 +19,9 @@
 	leaseTTL           = 10 * time.Second // of the presence record
 	leaseRenewInterval = 3 * time.Second
 	quarantineTTL      = 24 * time.Hour // of quarantined fingerprints in the store
+
+	storeQuarantinesInterval = heartbeatInterval
+	maxQuarantinesPerTxn     = 100
 )
 
 // Presence is the record of a live entry in the store, attached to the lease of the entry.
@@ -35,6 +39,7 @@
 	go entry.watchKeys(ctx)
 	go entry.maintainPresence(ctx)
 	go entry.renewClaimLease(ctx)
+	go entry.storeQuarantines(ctx)
 }
 
 // watchKeys follows all keys below [etcd.WatchedPrefix] with one watch.
@@ -160,28 +165,43 @@
 	return lease, current
 }
 
-// storeQuarantined stores quarantined fingerprints for other entries, including those that start later.
-func (entry *Entry) storeQuarantined(fingerprints []uint64) {
-	if entry.store == nil || len(fingerprints) == 0 {
-		return
+// storeQuarantines stores quarantined fingerprints for other entries, including those that start later. It retries while the
+// store is unavailable.
+func (entry *Entry) storeQuarantines(ctx context.Context) {
+	ticker := time.NewTicker(storeQuarantinesInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		fingerprints := entry.suspects.firstUnstored(maxQuarantinesPerTxn)
+		if len(fingerprints) > 0 && entry.storeQuarantined(ctx, fingerprints) == nil {
+			entry.suspects.stored(len(fingerprints))
+		}
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), leaseTTL)
+}
+
+// storeQuarantined stores quarantined fingerprints under a new lease.
+func (entry *Entry) storeQuarantined(ctx context.Context, fingerprints []uint64) (err error) {
+	defer func() { err = errors.Annotate(err, "storing quarantined requests") }()
+	ctx, cancel := context.WithTimeout(ctx, leaseTTL)
 	defer cancel()
 	lease, err := entry.store.GrantLease(ctx, quarantineTTL)
 	if err != nil {
-		return
+		return err
 	}
 	var puts []etcd.RequestOp
 	for _, fingerprint := range fingerprints {
 		data, err := etcd.Encode(etcd.NewOperation(), Presence{Name: entry.Settings.Name})
 		if err != nil {
-			return
+			return err
 		}
 		put := etcd.Put(etcd.PoisonPillKey(fingerprint), data)
 		put.Put.Lease = lease
 		puts = append(puts, put)
 	}
-	// The error is ignored: heartbeats send the fingerprints to the target daemons anyway, so only entries that start later
-	// miss them.
-	_, _ = entry.store.Txn(ctx, etcd.OtherCall, etcd.TxnRequest{Success: puts})
+	_, err = entry.store.Txn(ctx, etcd.OtherCall, etcd.TxnRequest{Success: puts})
+	return err
 }
