worker: a cancelled job does not make its engines look faulty

Callers' online requests and other items were kept from sound engines for a while after a batch job had been cancelled or had gone to another worker: the worker cut its runs and then counted each as a failure of the engine, which it ejected; other members suspect an engine that two of them have ejected.

TestSharedStorePath/cancelled_items counted 4 ejections of one engine before, and none now.

--- a/io/process/worker/worker.go
+++ b/io/process/worker/worker.go
@@ -68,6 +68,7 @@
 	started   time.Time
 	cancel    context.CancelFunc
 	preempted bool
+	dropped   bool // its job is no longer run here
 }
 
 // Run runs batch jobs until ctx ends, and then hands its jobs over and deregisters the process.
@@ -206,6 +207,7 @@
 	worker.Log.Info("job dropped", zap.String("job", id), zap.String("reason", reason))
 	for run := range worker.running {
 		if run.itemRun.Job.ID == id {
+			run.dropped = true
 			run.cancel()
 		}
 	}
@@ -321,7 +323,9 @@
 			worker.Node.RecordCompletion(func() poisonpill.Fingerprint { return fingerprintOf(run.itemRun) })
 		}
 	case jobrunner.Interrupted:
-		worker.Node.RecordFailure(run.engine)
+		if !run.dropped {
+			worker.Node.RecordFailure(run.engine)
+		}
 	case jobrunner.Preempted, jobrunner.NotExecuted: // a preemption is no failure, and runItem has recorded that an engine did not execute the item
 	}
 	telemetry.Items.Add(outcome.String(), 1)
