node: the quarantine in files of its own kinds

Checks of engines, sharing with peers, and records in the store stand in a file each; the set that members exchange and the operators' access have names that tell them apart.

--- a/io/process/cli/quarantine.go
+++ b/io/process/cli/quarantine.go
@@ -25,7 +25,7 @@
 
 // Execute prints the requests under which engines ended, or lifts the quarantine of one.
 func (command *quarantineCommand) Execute([]string) (err error) {
-	suspicions := node.Suspicions{
+	admin := node.SuspicionAdmin{
 		Store:   &store.Store{Driver: platform.NewStoreDriver(command.Store), Timeout: operatorStoreTimeout},
 		Records: platform.Records{},
 	}
@@ -34,13 +34,13 @@
 		if err != nil {
 			return exitError{code: ExitUsage, err: err}
 		}
-		err = suspicions.Lift(command.ctx, fingerprint)
+		err = admin.Lift(command.ctx, fingerprint)
 		if errors.Is(err, store.ErrOutcomeUnknown) {
 			return exitError{code: ExitUnknown, err: err}
 		}
 		return err
 	}
-	suspects, err := suspicions.List(command.ctx)
+	suspects, err := admin.List(command.ctx)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/io/process/node/engine_end.go
@@ -0,0 +1,128 @@
+package node
+
+import (
+	"context"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"cowslipway/core/coordination/poisonpill"
+	"cowslipway/core/state/fleet"
+	"cowslipway/io/process/telemetry"
+)
+
+const (
+	// maxSuspectEvents is the number of events of a run from which on the end of its engine does not count against the request:
+	// a request that ends its engines does so when it begins to run, and a long run meets the ends that others cause.
+	maxSuspectEvents = 8
+	// recheckDelay is the time after which an engine that accepted a connection is tried again: connections to a process that
+	// is ending may still be accepted before its listening socket is closed.
+	recheckDelay = 100 * time.Millisecond
+	// confirmWithin is the time in which an engine that has ended is back and listed as a new incarnation.
+	confirmWithin = 10 * time.Second
+	maxBrokenRuns = 256 // runs for which the end of their engine may still be confirmed
+)
+
+// EngineRun is a run of a request at an engine.
+type EngineRun struct {
+	Engine      fleet.Engine
+	RequestID   string
+	Fingerprint poisonpill.Fingerprint
+	Sent        time.Time
+	Events      int // received from the engine
+}
+
+// brokenRun is a run that its engine broke off.
+type brokenRun struct {
+	EngineRun
+
+	at time.Time
+}
+
+// CheckEngineEnd finds out whether an engine that broke off its response to a request has ended, and if so counts that
+// against the request. An engine that accepts a connection is taken to be alive, unless it refuses one a moment later, or a new
+// incarnation is listed at its address soon after.
+func (node *Node) CheckEngineEnd(ctx context.Context, run EngineRun) {
+	if run.Events >= maxSuspectEvents {
+		return
+	}
+	broken := brokenRun{EngineRun: run, at: time.Now()}
+	err := node.Upstream.Dial(ctx, run.Engine.Address)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		node.quarantine.recordEnd(broken, err.Error())
+		return
+	case err != nil:
+		telemetry.EngineChecks.Add("no answer", 1) // as over a cut link, or from a VM without power
+		return
+	}
+	telemetry.EngineChecks.Add("accepted", 1)
+	node.quarantine.awaitEnd(broken)
+	if run.Events > 0 {
+		return // an engine that a request ends has seldom sent an event by then
+	}
+	time.AfterFunc(recheckDelay, func() {
+		if err := node.Upstream.Probe(context.WithoutCancel(ctx), run.Engine.Address); errors.Is(err, syscall.ECONNREFUSED) {
+			node.quarantine.confirmEnds(err.Error(), func(other brokenRun) bool { return other == broken })
+		}
+	})
+}
+
+// engineListed counts runs that the engine at the address of listed broke off lately, if listed is a later incarnation.
+func (quarantine *quarantine) engineListed(listed fleet.Engine) {
+	quarantine.confirmEnds("a new incarnation is listed", func(broken brokenRun) bool {
+		return broken.Engine.Address == listed.Address && broken.Engine.StartUnixMilli < listed.StartUnixMilli
+	})
+}
+
+// awaitEnd keeps a run for confirmEnds.
+func (quarantine *quarantine) awaitEnd(broken brokenRun) {
+	quarantine.mutex.Lock()
+	defer quarantine.mutex.Unlock()
+	if quarantine.broken = append(quarantine.broken, broken); len(quarantine.broken) > maxBrokenRuns {
+		quarantine.broken = quarantine.broken[1:]
+	}
+}
+
+// confirmEnds counts the ends of the engines of the runs that awaitEnd keeps and for which ended returns true.
+func (quarantine *quarantine) confirmEnds(reason string, ended func(broken brokenRun) bool) {
+	quarantine.mutex.Lock()
+	var confirmed, rest []brokenRun
+	for _, broken := range quarantine.broken {
+		switch {
+		case time.Since(broken.at) > confirmWithin:
+		case ended(broken):
+			confirmed = append(confirmed, broken)
+		default:
+			rest = append(rest, broken)
+		}
+	}
+	quarantine.broken = rest
+	quarantine.mutex.Unlock()
+	for _, broken := range confirmed {
+		quarantine.recordEnd(broken, reason)
+	}
+}
+
+// recordEnd counts the end of an engine against the request of a run, and has it told to the other members.
+func (quarantine *quarantine) recordEnd(broken brokenRun, reason string) {
+	telemetry.EngineChecks.Add("ended", 1)
+	node := quarantine.node
+	end := poisonpill.EngineEnd{
+		Fingerprint: broken.Fingerprint, Engine: broken.Engine.Incarnation(), Request: broken.RequestID, Process: node.self.Name, Sent: broken.Sent, Ended: broken.at,
+	}
+	quarantine.mutex.Lock()
+	defer quarantine.mutex.Unlock()
+	node.Log.Info("engine ended during a request", zap.String("engine", broken.Engine.ID), zap.String("request", broken.RequestID),
+		zap.Stringer("fingerprint", broken.Fingerprint), zap.Duration("ran", broken.at.Sub(broken.Sent)), zap.String("reason", reason))
+	if !quarantine.add(end) {
+		return
+	}
+	quarantine.unshared.Ends = append(quarantine.unshared.Ends, end)
+	if quarantine.unsaved = append(quarantine.unsaved, end); len(quarantine.unsaved) > maxUnsavedEnds {
+		quarantine.unsaved = quarantine.unsaved[1:]
+	}
+	quarantine.requestFlush()
+}
--- a/io/process/node/quarantine_test.go
+++ b/io/process/node/quarantine_test.go
@@ -88,7 +88,7 @@
 	for number, at := range []time.Time{now.Add(-time.Second), now} {
 		node.quarantine.recordEnd(brokenRun{EngineRun: EngineRun{Engine: fleet.Engine{ID: "e", StartUnixMilli: int64(number)}, Fingerprint: fingerprint, Sent: at}, at: at}, "test")
 	}
-	node.quarantine.merge(suspicions{Clearances: []poisonpill.Clearance{{Fingerprint: fingerprint, At: now.Add(-500 * time.Millisecond)}}})
+	node.quarantine.merge(suspicionSet{Clearances: []poisonpill.Clearance{{Fingerprint: fingerprint, At: now.Add(-500 * time.Millisecond)}}})
 	if !node.quarantine.ledger.Suspected(fingerprint) {
 		t.Fatal("the later end does not count any longer")
 	}
--- a/io/process/node/suspicions.go
+++ b/io/process/node/suspicion_admin.go
@@ -12,8 +12,8 @@
 	"cowslipway/io/store"
 )
 
-// Suspicions gives operators access to the engine ends that members have written to the store.
-type Suspicions struct {
+// SuspicionAdmin gives operators access to the engine ends that members have written to the store.
+type SuspicionAdmin struct {
 	Store   *store.Store
 	Records port.Records
 }
@@ -27,10 +27,10 @@
 }
 
 // List returns the requests under which engines ended, with the ends that still count.
-func (suspicions Suspicions) List(ctx context.Context) (suspects []Suspect, err error) {
+func (admin SuspicionAdmin) List(ctx context.Context) (suspects []Suspect, err error) {
 	defer func() { err = errors.Annotate(err, "listing suspicions") }()
-	prefix := suspicions.Records.OwnKey(suspicionPrefix)
-	items, _, err := suspicions.Store.ListAll(ctx, prefix)
+	prefix := admin.Records.OwnKey(suspicionPrefix)
+	items, _, err := admin.Store.ListAll(ctx, prefix)
 	if err != nil {
 		return nil, err
 	}
@@ -62,9 +62,9 @@
 }
 
 // Lift ends the quarantine of a request. Engine ends up to now do not count any longer at any member that reads the store.
-func (suspicions Suspicions) Lift(ctx context.Context, fingerprint poisonpill.Fingerprint) (err error) {
+func (admin SuspicionAdmin) Lift(ctx context.Context, fingerprint poisonpill.Fingerprint) (err error) {
 	defer func() { err = errors.Annotatef(err, "lifting the quarantine of %s", fingerprint) }()
-	suspects, err := suspicions.List(ctx)
+	suspects, err := admin.List(ctx)
 	if err != nil {
 		return err
 	}
@@ -80,7 +80,7 @@
 	if err != nil {
 		return err
 	}
-	key := suspicions.Records.OwnKey(clearanceKey(fingerprint))
-	_, _, err = suspicions.Store.Commit(ctx, store.Txn{Writes: []store.Write{{Key: key, Value: value}}})
+	key := admin.Records.OwnKey(clearanceKey(fingerprint))
+	_, _, err = admin.Store.Commit(ctx, store.Txn{Writes: []store.Write{{Key: key, Value: value}}})
 	return err
 }
--- /dev/null
+++ b/io/process/node/suspicion_records.go
@@ -0,0 +1,188 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"cowslipway/core/coordination/poisonpill"
+	"cowslipway/io/process/telemetry"
+	"cowslipway/io/store"
+)
+
+const (
+	suspicionPrefix = "suspicions/"
+	clearanceName   = "cleared" // last part of the key of a clearance
+	trialName       = "trial-"  // start of the last part of the key of a trial
+
+	// saveDelay is how long an engine's end waits before it is written to the store. Most requests are not the cause, are
+	// served by the next engine within that time, and then cost no write.
+	saveDelay      = time.Second
+	saveRetryDelay = 500 * time.Millisecond
+	// sweepAfter is the age of the records of suspicions that are removed from the store: clocks of VMs differ by up to 5 s.
+	sweepAfter = poisonpill.EndLifetime + 10*time.Second
+)
+
+// trial is the record that a process runs a quarantined request once.
+type trial struct {
+	Fingerprint poisonpill.Fingerprint `json:"fingerprint"`
+	Process     string                 `json:"process"`
+	At          time.Time              `json:"at"`
+}
+
+// endKey returns the key of the record of an engine's end.
+func (quarantine *quarantine) endKey(end poisonpill.EngineEnd) string {
+	return quarantine.node.Records.OwnKey(fmt.Sprintf("%s%s/%016x", suspicionPrefix, end.Fingerprint, xxhash.Sum64String(end.Engine)))
+}
+
+// clearanceKey returns the name of the own record that clears a request.
+func clearanceKey(fingerprint poisonpill.Fingerprint) (name string) {
+	return suspicionPrefix + fingerprint.String() + "/" + clearanceName
+}
+
+// ClaimTrial claims the next trial of a request under which a number of engines have ended, so that it runs once in the whole
+// fleet. The cause of its error is store.ErrConflict if the trial was claimed before.
+func (node *Node) ClaimTrial(ctx context.Context, fingerprint poisonpill.Fingerprint, ends int) (err error) {
+	defer func() { err = errors.Annotatef(err, "claiming trial %d of %s", ends, fingerprint) }()
+	value, err := json.Marshal(trial{Fingerprint: fingerprint, Process: node.self.Name, At: time.Now()})
+	if err != nil {
+		return err
+	}
+	key := node.Records.OwnKey(fmt.Sprintf("%s%s/%s%d", suspicionPrefix, fingerprint, trialName, ends))
+	_, _, err = node.Store.Commit(ctx, store.Txn{Conditions: []store.Condition{{Key: key}}, Writes: []store.Write{{Key: key, Value: value}}})
+	return err
+}
+
+// decodeSuspicion decodes the record of an engine's end, of a clearance or of a trial.
+func decodeSuspicion(item store.Item) (read suspicionSet, err error) {
+	defer func() { err = errors.Annotatef(err, "decoding %q", item.Key) }()
+	if strings.HasSuffix(item.Key, "/"+clearanceName) {
+		read.Clearances = make([]poisonpill.Clearance, 1)
+		return read, json.Unmarshal(item.Value, &read.Clearances[0])
+	}
+	if strings.Contains(item.Key, "/"+trialName) {
+		read.trials = make([]trial, 1)
+		return read, json.Unmarshal(item.Value, &read.trials[0])
+	}
+	read.Ends = make([]poisonpill.EngineEnd, 1)
+	return read, json.Unmarshal(item.Value, &read.Ends[0])
+}
+
+// applyRecord applies a changed record below suspicionPrefix.
+func (quarantine *quarantine) applyRecord(item store.Item) (err error) {
+	quarantine.mutex.Lock()
+	defer quarantine.mutex.Unlock()
+	if item.Deleted {
+		delete(quarantine.saved, item.Key) // the ledger forgets ends by itself
+		return nil
+	}
+	read, err := decodeSuspicion(item)
+	if err != nil {
+		return err
+	}
+	for _, end := range read.Ends {
+		quarantine.saved[item.Key] = end.Ended
+		quarantine.add(end)
+	}
+	for _, trial := range read.trials {
+		quarantine.saved[item.Key] = trial.At
+	}
+	for _, clearance := range read.Clearances {
+		quarantine.saved[item.Key] = clearance.At
+		quarantine.clear(clearance, "the store has a clearance")
+	}
+	return nil
+}
+
+// runSaving writes suspicions to the store, a little after they were recorded, until ctx ends.
+func (quarantine *quarantine) runSaving(ctx context.Context) {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-quarantine.wakeSave:
+		case <-timer.C:
+		}
+		if next, ok := quarantine.save(ctx); ok {
+			timer.Reset(next)
+		}
+	}
+}
+
+// save writes to the store what has waited for saveDelay. ok reports whether there is more to write, after the time next.
+func (quarantine *quarantine) save(ctx context.Context) (next time.Duration, ok bool) {
+	quarantine.mutex.Lock()
+	txn, ends, clearances := quarantine.nextTxn(time.Now())
+	waiting := len(quarantine.unsaved)+len(quarantine.clearances) > 0
+	quarantine.saving = quarantine.saving || txn.Entries() > 0
+	quarantine.mutex.Unlock()
+	if txn.Entries() == 0 {
+		return saveDelay, waiting
+	}
+	if _, _, err := quarantine.node.Store.Commit(ctx, txn); err != nil {
+		quarantine.node.Log.Warn("suspicions not written yet", zap.Int("writes", len(txn.Writes)), telemetry.Err(err))
+		return saveRetryDelay, true
+	}
+	quarantine.mutex.Lock()
+	defer quarantine.mutex.Unlock()
+	quarantine.saving = false
+	quarantine.unsaved = without(quarantine.unsaved, ends)
+	quarantine.clearances = without(quarantine.clearances, clearances)
+	return 0, len(quarantine.unsaved)+len(quarantine.clearances) > 0
+}
+
+// without returns the values that are not among removed.
+func without[V comparable](values, removed []V) (rest []V) {
+	gone := make(map[V]bool, len(removed))
+	for _, value := range removed {
+		gone[value] = true
+	}
+	for _, value := range values {
+		if !gone[value] {
+			rest = append(rest, value)
+		}
+	}
+	return rest
+}
+
+// nextTxn returns the next transaction to write, and what it contains; it is empty if nothing has waited for saveDelay. The
+// writes have no conditions: records of the same end are the same, and a later clearance covers an earlier one. The mutex
+// must be held.
+func (quarantine *quarantine) nextTxn(now time.Time) (txn store.Txn, ends []poisonpill.EngineEnd, clearances []poisonpill.Clearance) {
+	for _, clearance := range quarantine.clearances {
+		if txn.Entries() < store.MaxTxnEntries {
+			value, _ := json.Marshal(clearance) // strings and times only
+			txn.Writes = append(txn.Writes, store.Write{Key: quarantine.node.Records.OwnKey(clearanceKey(clearance.Fingerprint)), Value: value})
+			clearances = append(clearances, clearance)
+		}
+	}
+	for _, end := range quarantine.unsaved {
+		if now.Sub(end.Ended) >= saveDelay && txn.Entries() < store.MaxTxnEntries {
+			value, _ := json.Marshal(end) // strings and times only
+			txn.Writes = append(txn.Writes, store.Write{Key: quarantine.endKey(end), Value: value})
+			ends = append(ends, end)
+		}
+	}
+	return txn, ends, clearances
+}
+
+// ExpiredSuspicions returns the keys of up to limit records of suspicions in the store that no longer count.
+func (node *Node) ExpiredSuspicions(now time.Time, limit int) (keys []string) {
+	quarantine := &node.quarantine
+	quarantine.mutex.Lock()
+	defer quarantine.mutex.Unlock()
+	for key, at := range quarantine.saved {
+		if now.Sub(at) > sweepAfter && len(keys) < limit {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
