worker, node: a trial that was claimed and not run is not lost

Found by the review: a withheld item kept waiting although an engine was free, until its job could be given up, when the worker that had claimed its trial was killed, when the response to the claim was lost, or when all engines were full as the trial came due.

--- a/io/process/worker/trial.go
+++ b/io/process/worker/trial.go
@@ -15,7 +15,7 @@
 
 const (
 	claimDelay      = 250 * time.Millisecond // between two checks whether a trial has been claimed
-	lostTrialDelay  = 15 * time.Second       // after a trial that neither completed nor ended its engine
+	lostTrialDelay  = 15 * time.Second       // after a trial that neither completed nor ended its engine, or was not run
 	maxKnownTrials  = 4096                   // bounds the memory
 	claimRetryDelay = time.Second            // after the store did not answer a claim
 )
@@ -26,6 +26,7 @@
 	item    string    // ID of the item that runs
 	claimed bool      // the trial belongs to this worker
 	from    time.Time // the item may run from this time on; zero while it may not
+	retryAt time.Time // the trial may be claimed again from this time on; zero unless another process has claimed it
 }
 
 // withhold keeps an item from running, or gives it up, if it is quarantined and has no trial. It reports whether it did.
@@ -36,7 +37,7 @@
 	}
 	fingerprint, until := fingerprintOf(itemRun), quarantine.Trial
 	if !now.Before(quarantine.Trial) {
-		if worker.takeTrial(ctx, now, fingerprint, itemRun.Item.ID, len(quarantine.Ends)) {
+		if worker.mayTry(ctx, now, fingerprint, itemRun.Item.ID, len(quarantine.Ends)) {
 			return false
 		}
 		until = now.Add(claimDelay)
@@ -49,15 +50,12 @@
 	return true
 }
 
-// takeTrial reports whether an item may run now as the trial after a number of engine ends. Until it has been claimed, it
+// mayTry reports whether an item may run now as the trial after a number of engine ends. Until it has been claimed, mayTry
 // claims the trial in the background.
-func (worker *Worker) takeTrial(ctx context.Context, now time.Time, fingerprint poisonpill.Fingerprint, item string, ends int) (taken bool) {
+func (worker *Worker) mayTry(ctx context.Context, now time.Time, fingerprint poisonpill.Fingerprint, item string, ends int) (allowed bool) {
 	known := worker.trials[fingerprint]
-	if known != nil && known.ends == ends {
-		if taken = known.item == item && !known.from.IsZero() && !now.Before(known.from); taken {
-			known.from = time.Time{}
-		}
-		return taken
+	if known != nil && known.ends == ends && (known.retryAt.IsZero() || now.Before(known.retryAt)) {
+		return known.item == item && !known.from.IsZero() && !now.Before(known.from)
 	}
 	if len(worker.trials) >= maxKnownTrials {
 		clear(worker.trials)
@@ -65,7 +63,7 @@
 	claim := &trial{ends: ends, item: item}
 	worker.trials[fingerprint] = claim
 	go func() {
-		err := worker.Node.ClaimTrial(ctx, fingerprint, ends)
+		err := worker.Node.ClaimTrial(ctx, fingerprint, ends, lostTrialDelay)
 		if err != nil && !errors.Is(err, store.ErrConflict) {
 			time.Sleep(claimRetryDelay)
 		}
@@ -73,7 +71,9 @@
 			switch {
 			case err == nil:
 				claim.claimed, claim.from = true, time.Now()
-			case !errors.Is(err, store.ErrConflict) && worker.trials[fingerprint] == claim:
+			case errors.Is(err, store.ErrConflict):
+				claim.retryAt = time.Now().Add(lostTrialDelay)
+			case worker.trials[fingerprint] == claim:
 				delete(worker.trials, fingerprint) // the next check claims it again
 			}
 			worker.Log.Info("trial claimed", zap.String("request", item), zap.Stringer("fingerprint", fingerprint), zap.Int("ends", ends), telemetry.Err(err))
@@ -82,6 +82,16 @@
 	return false
 }
 
+// beginTrial records that a run begins, which is the trial of its item if the item has one.
+func (worker *Worker) beginTrial(itemRun jobrunner.ItemRun) {
+	if len(worker.trials) == 0 {
+		return
+	}
+	if known := worker.trials[fingerprintOf(itemRun)]; known != nil && known.item == itemRun.Item.ID {
+		known.from = time.Time{}
+	}
+}
+
 // returnTrial lets the item of a trial run again if the trial showed nothing: at once if no engine ran the item, and later if
 // an engine broke it off that is alive. If an engine ended, the next trial takes its place.
 func (worker *Worker) returnTrial(run *activeRun, outcome jobrunner.Outcome) {
--- a/io/process/worker/worker.go
+++ b/io/process/worker/worker.go
@@ -302,6 +302,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	run := &activeRun{itemRun: itemRun, engine: engine, started: time.Now(), cancel: cancel}
 	worker.running[run] = true
+	worker.beginTrial(itemRun)
 	go func() {
 		outcome, progress, cause := worker.runItem(ctx, itemRun, engine)
 		cancel()
