store: a watch whose response may have been cut does not date the view

A watch with 512 KB of values or more now keeps the age of the view, and the next one follows at once and compares with the store's revision.

--- a/io/store/asof_test.go
+++ b/io/store/asof_test.go
@@ -54,7 +54,8 @@
 	revision, _ = strconv.ParseInt(arguments["revision"], 10, 64)
 	for key := range strings.SplitSeq(arguments["keys"], ",") {
 		if key != "" {
-			items = append(items, Item{Key: key, Revision: revision})
+			size, _ := strconv.Atoi(arguments["bytes"])
+			items = append(items, Item{Key: key, Revision: revision, Value: make([]byte, size)})
 		}
 	}
 	return items, revision
--- a/io/store/follow.go
+++ b/io/store/follow.go
@@ -18,6 +18,9 @@
 	maxSilence = time.Second
 	// maxWatchGap is the age of the view above which a watch is not expected to return all changes.
 	maxWatchGap = 1300 * time.Millisecond
+	// minCutBytes is the size of the values in the response of a watch from which on the store may have left out later changes.
+	// It cuts responses at about 1 MB.
+	minCutBytes = 512 << 10
 )
 
 // Update holds changes of keys, or a listing of all keys below a prefix. A view of the store consists of all updates handled
@@ -72,6 +75,7 @@
 	// time goalAt once it is at revision goal. goal is 0 if the follower is not catching up.
 	goal   int64
 	goalAt time.Time
+	cut    bool // the last watch, which began without a gap, may have returned only a part of the changes
 
 	source        string    // peer that the last changes came from; empty: the store
 	readerRetryAt time.Time // the store is read directly until then
@@ -101,7 +105,7 @@
 			previous := revision
 			revision = follower.watch(ctx, revision)
 			follower.setSource("", nil)
-			if follower.goal != 0 && revision > previous {
+			if (follower.goal != 0 || follower.cut) && revision > previous {
 				continue
 			}
 		}
@@ -155,7 +159,7 @@
 func (follower *Follower) watch(ctx context.Context, revision int64) int64 {
 	started := time.Now()
 	certain := true // whether it is known how many changes there are
-	if follower.goal == 0 && started.Sub(follower.asOf) > maxWatchGap {
+	if follower.goal == 0 && (follower.cut || started.Sub(follower.asOf) > maxWatchGap) {
 		goal, err := follower.Store.Revision(ctx, follower.Prefixes[0])
 		follower.goal, follower.goalAt, certain = goal, started, err == nil
 	}
@@ -163,8 +167,9 @@
 	switch {
 	case err == nil && current >= revision:
 		update := Update{Items: items, Revision: current, AsOf: started, Source: "watch"}
+		follower.cut = follower.goal == 0 && valueBytes(items) >= minCutBytes
 		switch {
-		case !certain || current < follower.goal:
+		case !certain || current < follower.goal || follower.cut:
 			update.AsOf, update.Source = follower.asOf, "incomplete watch"
 		case follower.goal != 0:
 			update.AsOf, follower.goal = follower.goalAt, 0
@@ -183,6 +188,14 @@
 	return revision
 }
 
+// valueBytes returns the total size of the values of items.
+func valueBytes(items []Item) (size int) {
+	for _, item := range items {
+		size += len(item.Value)
+	}
+	return size
+}
+
 // distrust dates the view back and closes the change feed, since the last watches may have missed changes.
 func (follower *Follower) distrust() {
 	if follower.Feed != nil {
