worker: a trial that reached an engine counts, whatever its outcome

Found by the review: a trial that an engine answered with 500, or broke off and lived on, was given back and not counted, so that an item reached engines four times after the third end under it, where three are allowed.

A trial that reached an engine is spent now, unless its engine turns out to have ended, in which case it counts as that end; one that no engine ran is given back as before.

--- a/core/coordination/poisonpill/ledger.go
+++ b/core/coordination/poisonpill/ledger.go
@@ -35,7 +35,8 @@
 	Until time.Time   // end of the quarantine, if no other engine ends: fewer than quarantineEnds count from then on
 	// Trial is the time from which the request may run once more, as one process decides for all; it equals Until if there are
 	// no trials left.
-	Trial time.Time
+	Trial  time.Time
+	Trials int // trials left
 }
 
 // Clearance ends the suspicion against a request: engine ends up to its time do not count.
@@ -123,7 +124,8 @@
 	}
 	quarantine.Until = quarantine.Ends[count-quarantineEnds].Ended.Add(EndLifetime)
 	quarantine.Trial = quarantine.Until
-	if count-quarantineEnds < maxTrials {
+	quarantine.Trials = max(0, quarantineEnds+maxTrials-count)
+	if quarantine.Trials > 0 {
 		quarantine.Trial = quarantine.Ends[count-1].Ended.Add(trialDelay)
 	}
 	return quarantine, true
--- a/io/process/worker/trial.go
+++ b/io/process/worker/trial.go
@@ -15,7 +15,7 @@
 
 const (
 	claimDelay      = 250 * time.Millisecond // between two checks whether a trial has been claimed
-	lostTrialDelay  = 15 * time.Second       // after a trial that neither completed nor ended its engine, or was not run
+	lostTrialDelay  = 15 * time.Second       // after a trial that neither completed nor ended its engine, or was claimed and not run
 	maxKnownTrials  = 4096                   // bounds the memory
 	claimRetryDelay = time.Second            // after the store did not answer a claim
 )
@@ -23,21 +23,25 @@
 // trial is a run of a quarantined item that this worker has claimed, or tried to.
 type trial struct {
 	ends    int       // number of engine ends at the time of the claim
+	spent   int       // trials that reached an engine and neither completed nor ended it
 	item    string    // ID of the item that runs
 	claimed bool      // the trial belongs to this worker
 	from    time.Time // the item may run from this time on; zero while it may not
-	retryAt time.Time // the trial may be claimed again from this time on; zero unless another process has claimed it
+	retryAt time.Time // the trial may be claimed again from this time on; zero while it need not be
 }
 
 // withhold keeps an item from running, or gives it up, if it is quarantined and has no trial. It reports whether it did.
 func (worker *Worker) withhold(ctx context.Context, now time.Time, itemRun jobrunner.ItemRun) (withheld bool) {
 	quarantine, ok := worker.Node.Quarantined(func() poisonpill.Fingerprint { return fingerprintOf(itemRun) })
 	if !ok {
+		if len(worker.trials) > 0 {
+			delete(worker.trials, fingerprintOf(itemRun)) // a later quarantine has trials of its own
+		}
 		return false
 	}
 	fingerprint, until := fingerprintOf(itemRun), quarantine.Trial
 	if !now.Before(quarantine.Trial) {
-		if worker.mayTry(ctx, now, fingerprint, itemRun.Item.ID, len(quarantine.Ends)) {
+		if worker.mayTry(ctx, now, fingerprint, itemRun.Item.ID, quarantine) {
 			return false
 		}
 		until = now.Add(claimDelay)
@@ -52,8 +56,8 @@
 
 // mayTry reports whether an item may run now as the trial after a number of engine ends. Until it has been claimed, mayTry
 // claims the trial in the background.
-func (worker *Worker) mayTry(ctx context.Context, now time.Time, fingerprint poisonpill.Fingerprint, item string, ends int) (allowed bool) {
-	known := worker.trials[fingerprint]
+func (worker *Worker) mayTry(ctx context.Context, now time.Time, fingerprint poisonpill.Fingerprint, item string, quarantine poisonpill.Quarantine) (allowed bool) {
+	known, ends := worker.trials[fingerprint], len(quarantine.Ends)
 	if known != nil && known.ends == ends && (known.retryAt.IsZero() || now.Before(known.retryAt)) {
 		return known.item == item && !known.from.IsZero() && !now.Before(known.from)
 	}
@@ -61,9 +65,15 @@
 		clear(worker.trials)
 	}
 	claim := &trial{ends: ends, item: item}
+	if known != nil {
+		claim.spent = max(0, known.spent-(ends-known.ends)) // a spent trial whose engine had ended counts as an end
+	}
+	if claim.spent >= quarantine.Trials {
+		return false
+	}
 	worker.trials[fingerprint] = claim
 	go func() {
-		err := worker.Node.ClaimTrial(ctx, fingerprint, ends, lostTrialDelay)
+		err := worker.Node.ClaimTrial(ctx, fingerprint, ends+claim.spent, lostTrialDelay)
 		if err != nil && !errors.Is(err, store.ErrConflict) {
 			time.Sleep(claimRetryDelay)
 		}
@@ -73,8 +83,8 @@
 				claim.claimed, claim.from = true, time.Now()
 			case errors.Is(err, store.ErrConflict):
 				claim.retryAt = time.Now().Add(lostTrialDelay)
-			case worker.trials[fingerprint] == claim:
-				delete(worker.trials, fingerprint) // the next check claims it again
+			default:
+				claim.retryAt = time.Now()
 			}
 			worker.Log.Info("trial claimed", zap.String("request", item), zap.Stringer("fingerprint", fingerprint), zap.Int("ends", ends), telemetry.Err(err))
 		}
@@ -92,8 +102,8 @@
 	}
 }
 
-// returnTrial lets the item of a trial run again if the trial showed nothing: at once if no engine ran the item, and later if
-// an engine broke it off that is alive. If an engine ended, the next trial takes its place.
+// returnTrial lets the item of a trial run again at once if no engine ran it. A trial that reached an engine and neither
+// completed nor ended it, as far as is known by then, counts as spent, and the next one may be claimed later.
 func (worker *Worker) returnTrial(run *activeRun, outcome jobrunner.Outcome) {
 	if len(worker.trials) == 0 {
 		return
@@ -106,7 +116,8 @@
 	case jobrunner.NotExecuted, jobrunner.Preempted:
 		known.from = time.Now()
 	case jobrunner.Interrupted, jobrunner.Errored:
-		known.from = time.Now().Add(lostTrialDelay)
+		known.spent++
+		known.retryAt = time.Now().Add(lostTrialDelay)
 	case jobrunner.Finished, jobrunner.Invalid: // the item has its result
 	}
 }
