--- a/io/process/worker/worker.go
+++ b/io/process/worker/worker.go
@@ -53,9 +53,9 @@
 	stopping      bool
 	sweptAt       time.Time
 	checkpoints   checkpointFiles
-	savedProgress jobrecord.ProgressByJob // from the checkpoints of the previous process on this VM
-	retired       map[string]bool         // VMs whose retirement is reported or being reported
-	trials        map[poisonpill.Fingerprint]*trial
+	savedProgress jobrecord.ProgressByJob           // from the checkpoints of the previous process on this VM
+	retired       map[string]bool                   // VMs whose retirement is reported or being reported
+	trials        map[poisonpill.Fingerprint]*trial // of withheld items
 }
 
 // action changes the state of a Worker. The goroutine that runs control runs all actions, one after the other.
