poisonpill: a run sent after an engine's end counts as another end

What callers saw: a request that crashes its engines was not quarantined.

Cause: ends were keyed by the incarnation of the engine that the sender believed in, in the ledger, in the records in the store and so in what members tell each other. A member that had not been listed the newer incarnation reported an end that another had already reported under the earlier one, and it was dropped. While the store is away no member learns of a new incarnation, and all later ends at one engine were one.

Now an end is known by the time of its run. Ends of one engine count one after another like those of different engines: if the request was sent after the end before. A repeated report covers the same time and is dropped; of two reports the narrower is kept, so the result does not depend on their order. Two processes' clocks may differ by 250 ms before they see one end as two. Each run has a record of its own in the store. At most 64 ends are kept for a request.

--- a/core/coordination/poisonpill/ledger.go
+++ b/core/coordination/poisonpill/ledger.go
@@ -1,8 +1,8 @@
 package poisonpill
 
 import (
+	"cmp"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
@@ -17,12 +17,17 @@
 	trialDelay = 15 * time.Second
 	// maxTrials bounds the trials of a request, each of which may end an engine.
 	maxTrials = 3
+	// maxEnds bounds the engine ends that are kept for a request.
+	maxEnds = 64
+	// clockTolerance is how much the clocks of two processes may differ before they see one end of an engine as two. It is less
+	// than an engine takes to start again.
+	clockTolerance = 250 * time.Millisecond
 )
 
 // EngineEnd records that an engine ended while it had a request.
 type EngineEnd struct {
 	Fingerprint Fingerprint `json:"fingerprint"`
-	Engine      string      `json:"engine"`  // incarnation of the engine
+	Engine      string      `json:"engine"`  // incarnation that the sender believed in; a later one may have run the request
 	Request     string      `json:"request"` // ID under which the request was sent
 	Process     string      `json:"process"` // member that sent the request
 	Sent        time.Time   `json:"sent"`    // when the request was sent to the engine
@@ -56,7 +61,7 @@
 
 // record is what is known about a request.
 type record struct {
-	ends      map[string]EngineEnd // by engine; none is older than clearedAt
+	ends      []EngineEnd // in the order in which they happened; none is older than clearedAt
 	clearedAt time.Time
 }
 
@@ -73,21 +78,33 @@
 	return ledger.requests.Len()
 }
 
-// Add records an engine's end. It reports whether the ledger has changed.
+// Add records an engine's end. It reports whether the ledger has changed. A report of an end that adds nothing to those of the
+// same engine is not kept: each sequence of ends in which it has a place has that place for the other one.
 func (ledger *Ledger) Add(now time.Time, end EngineEnd) (added bool) {
 	ledger.init()
 	known, _ := ledger.requests.Peek(end.Fingerprint)
-	if _, reported := known.ends[end.Engine]; reported || !end.Ended.After(known.clearedAt) || now.Sub(end.Ended) > EndLifetime {
+	if !end.Ended.After(known.clearedAt) || now.Sub(end.Ended) > EndLifetime {
 		return false
 	}
-	if known.ends == nil {
-		known.ends = map[string]EngineEnd{}
+	if slices.ContainsFunc(known.ends, func(other EngineEnd) bool { return end.spans(other) }) {
+		return false
+	}
+	ends := slices.DeleteFunc(slices.Clone(known.ends), func(other EngineEnd) bool { return other.spans(end) })
+	ends = append(ends, end)
+	slices.SortFunc(ends, compareEnds)
+	if len(ends) > maxEnds {
+		ends = ends[len(ends)-maxEnds:]
 	}
-	known.ends[end.Engine] = end
+	known.ends = ends
 	ledger.requests.Add(end.Fingerprint, known)
 	return true
 }
 
+// spans reports whether the run that ends with end includes the time of the run of other, at the same engine.
+func (end EngineEnd) spans(other EngineEnd) bool {
+	return end.Engine == other.Engine && !end.Sent.After(other.Sent) && !end.Ended.Before(other.Ended)
+}
+
 // Clear removes the ends up to the time of clearance and ignores them from then on. It returns the ends removed.
 func (ledger *Ledger) Clear(clearance Clearance) (removed []EngineEnd) {
 	ledger.init()
@@ -95,14 +112,15 @@
 	if !clearance.At.After(known.clearedAt) {
 		return nil
 	}
-	for _, end := range inOrder(known.ends) {
-		if !end.Ended.After(clearance.At) {
+	var kept []EngineEnd
+	for _, end := range known.ends {
+		if end.Ended.After(clearance.At) {
+			kept = append(kept, end)
+		} else {
 			removed = append(removed, end)
-			delete(known.ends, end.Engine)
 		}
 	}
-	known.clearedAt = clearance.At
-	ledger.requests.Add(clearance.Fingerprint, known)
+	ledger.requests.Add(clearance.Fingerprint, record{ends: kept, clearedAt: clearance.At})
 	return removed
 }
 
@@ -117,7 +135,7 @@
 func (ledger *Ledger) Quarantine(now time.Time, fingerprint Fingerprint) (quarantine Quarantine, ok bool) {
 	ledger.init()
 	known, _ := ledger.requests.Peek(fingerprint)
-	quarantine.Ends = oneAfterAnother(inOrder(known.ends), now)
+	quarantine.Ends = oneAfterAnother(known.ends, now)
 	count := len(quarantine.Ends)
 	if count < quarantineEnds {
 		return Quarantine{}, false
@@ -136,42 +154,47 @@
 	ledger.init()
 	for _, fingerprint := range ledger.requests.Keys() {
 		known, _ := ledger.requests.Peek(fingerprint)
-		for engine, end := range known.ends {
-			if now.Sub(end.Ended) > EndLifetime {
-				delete(known.ends, engine)
+		var counting []EngineEnd
+		for _, end := range known.ends {
+			if now.Sub(end.Ended) <= EndLifetime {
+				counting = append(counting, end)
 			}
 		}
-		if len(known.ends) == 0 && now.Sub(known.clearedAt) > EndLifetime {
+		if known.ends = counting; len(counting) == 0 && now.Sub(known.clearedAt) > EndLifetime {
 			ledger.requests.Remove(fingerprint)
+			continue
 		}
-		all = append(all, inOrder(known.ends)...)
+		ledger.requests.Add(fingerprint, known) // all are added in their order, which therefore stays
+		all = append(all, counting...)
 	}
 	return all
 }
 
-// inOrder returns ends in the order in which they happened.
-func inOrder(ends map[string]EngineEnd) (ordered []EngineEnd) {
-	for _, end := range ends {
-		ordered = append(ordered, end)
-	}
-	slices.SortFunc(ordered, func(a, b EngineEnd) int {
-		if order := a.Ended.Compare(b.Ended); order != 0 {
-			return order
-		}
-		return strings.Compare(a.Engine, b.Engine)
-	})
-	return ordered
+// compareEnds orders ends as they happened.
+func compareEnds(a, b EngineEnd) int {
+	return cmp.Or(a.Ended.Compare(b.Ended), a.Sent.Compare(b.Sent), cmp.Compare(a.Engine, b.Engine), cmp.Compare(a.Process, b.Process))
 }
 
 // oneAfterAnother returns the longest sequence of the ordered ends that still count in which each request was sent after
 // the engine before it had ended.
 func oneAfterAnother(ordered []EngineEnd, now time.Time) (sequence []EngineEnd) {
-	last := time.Time{}
 	for _, end := range ordered {
-		if now.Sub(end.Ended) <= EndLifetime && !end.Sent.Before(last) {
+		if now.Sub(end.Ended) > EndLifetime {
+			continue
+		}
+		if len(sequence) == 0 || end.follows(sequence[len(sequence)-1]) {
 			sequence = append(sequence, end)
-			last = end.Ended
 		}
 	}
 	return sequence
 }
+
+// follows reports whether the request of end was sent after the engine of earlier had ended. An engine that has ended runs
+// requests again only as another incarnation, whichever one the sender believes in.
+func (end EngineEnd) follows(earlier EngineEnd) bool {
+	gap := end.Sent.Sub(earlier.Ended)
+	if end.Engine == earlier.Engine && end.Process != earlier.Process {
+		return gap >= clockTolerance
+	}
+	return gap >= 0
+}
--- a/core/coordination/poisonpill/ledger_test.go
+++ b/core/coordination/poisonpill/ledger_test.go
@@ -29,9 +29,25 @@
 			switch words[0] {
 			case "now": // now OFFSET
 				now = at(words[1])
-			case "end": // end REQUEST ENGINE SENT ENDED
-				added := ledger.Add(now, EngineEnd{Fingerprint: fingerprint(words[1]), Engine: words[2], Sent: at(words[3]), Ended: at(words[4])})
+			case "end": // end REQUEST ENGINE SENT ENDED [PROCESS]
+				end := EngineEnd{Fingerprint: fingerprint(words[1]), Engine: words[2], Sent: at(words[3]), Ended: at(words[4])}
+				if len(words) > 5 {
+					end.Process = words[5]
+				}
+				added := ledger.Add(now, end)
 				fmt.Fprintf(&out, "added: %v\n", added)
+			case "ends": // ends REQUEST ENGINE COUNT: one a second
+				var count, added int
+				if _, err := fmt.Sscan(words[3], &count); err != nil {
+					t.Fatal(err)
+				}
+				for number := range count {
+					sent := start.Add(time.Duration(number) * time.Second)
+					if ledger.Add(now, EngineEnd{Fingerprint: fingerprint(words[1]), Engine: words[2], Sent: sent, Ended: sent.Add(time.Second / 2)}) {
+						added++
+					}
+				}
+				fmt.Fprintf(&out, "added: %d\n", added)
 			case "clear": // clear REQUEST AT
 				fmt.Fprintf(&out, "removed: %d\n", len(ledger.Clear(Clearance{Fingerprint: fingerprint(words[1]), At: at(words[2])})))
 			case "status": // status REQUEST
--- a/io/process/node/suspicion_records.go
+++ b/io/process/node/suspicion_records.go
@@ -36,9 +36,11 @@
 	At          time.Time              `json:"at"`
 }
 
-// endKey returns the key of the record of an engine's end.
+// endKey returns the key of the record of an engine's end. Each run has a key of its own: the engine may have started again
+// since the incarnation that the sender believed in.
 func (quarantine *quarantine) endKey(end poisonpill.EngineEnd) string {
-	return quarantine.node.Records.OwnKey(fmt.Sprintf("%s%s/%016x", suspicionPrefix, end.Fingerprint, xxhash.Sum64String(end.Engine)))
+	run := fmt.Sprintf("%s %s %s %d", end.Engine, end.Process, end.Request, end.Sent.UnixNano())
+	return quarantine.node.Records.OwnKey(fmt.Sprintf("%s%s/%016x", suspicionPrefix, end.Fingerprint, xxhash.Sum64String(run)))
 }
 
 // clearanceKey returns the name of the own record that clears a request.
