node: the peers are told of an engine's end before the caller has its response

What callers saw: a request that had ended three engines was served to a fourth, when the process that saw one of the ends was killed right after it had answered 502.

Cause: the peers are told by another goroutine. In one of four runs of engine_crashing_member_lost, i2 was killed 10 ms after it logged the end; i1 and i3 were never told, and the store is written a second later at the earliest.

A failed attempt now waits until the connected peers have been told, at most 20 ms. It is done only where the engine refused a connection afterwards, so it delays no response of an engine that lives.

--- a/io/process/node/engine_end.go
+++ b/io/process/node/engine_end.go
@@ -22,6 +22,9 @@
 	recheckDelay = 100 * time.Millisecond
 	// confirmWithin is the time in which an engine that has ended is back and listed as a new incarnation.
 	confirmWithin = 10 * time.Second
+	// shareWait is how long a failed attempt waits until the peers have been told of the end of its engine, so that the end still
+	// counts if this process is killed once the caller has its response.
+	shareWait     = 20 * time.Millisecond
 	maxBrokenRuns = 256 // runs for which the end of their engine may still be confirmed
 )
 
@@ -53,6 +56,7 @@
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		node.quarantine.recordEnd(broken, err.Error())
+		node.quarantine.shareWithin(ctx, shareWait)
 		return
 	case err != nil:
 		telemetry.EngineChecks.Add("no answer", 1) // as over a cut link, or from a VM without power
--- a/io/process/node/quarantine.go
+++ b/io/process/node/quarantine.go
@@ -28,6 +28,7 @@
 	broken     []brokenRun                    // whose engines still accepted connections, oldest first
 	announced  map[poisonpill.Fingerprint]int // number of ends for which a quarantine was logged
 	unshared   suspicionSet                   // to be told to the peers
+	told       chan struct{}                  // closed once the peers have been told of what was shared last
 	unsaved    []poisonpill.EngineEnd         // to be written to the store, oldest first
 	clearances []poisonpill.Clearance         // to be written to the store
 	saving     bool                           // a write to the store is in progress, or its outcome is unknown
@@ -42,6 +43,8 @@
 	quarantine.ledger.MaxRequests = maxSuspects
 	quarantine.announced = map[poisonpill.Fingerprint]int{}
 	quarantine.saved = map[string]time.Time{}
+	quarantine.told = make(chan struct{})
+	close(quarantine.told) // nothing has been shared yet
 	quarantine.wakeShare, quarantine.wakeSave = make(chan struct{}, 1), make(chan struct{}, 1)
 }
 
--- a/io/process/node/suspicion_sharing.go
+++ b/io/process/node/suspicion_sharing.go
@@ -107,13 +107,30 @@
 	}
 }
 
-// share tells all connected members of the suspicions that are new.
-func (quarantine *quarantine) share(ctx context.Context) {
+// share tells all connected members of the suspicions that are new, without waiting for them. told is closed once they have
+// been told of these, or of those shared before if there are no new ones.
+func (quarantine *quarantine) share(ctx context.Context) (told <-chan struct{}) {
 	quarantine.mutex.Lock()
+	defer quarantine.mutex.Unlock()
 	known := quarantine.unshared
-	quarantine.unshared = suspicionSet{}
-	quarantine.mutex.Unlock()
-	if len(known.Ends)+len(known.Clearances) > 0 {
-		go quarantine.node.tell(ctx, quarantine.node.mesh.Connected(), known) // a peer that does not answer delays no other suspicion
+	if len(known.Ends)+len(known.Clearances) == 0 {
+		return quarantine.told
+	}
+	done := make(chan struct{})
+	quarantine.unshared, quarantine.told = suspicionSet{}, done
+	go func() { // a peer that does not answer delays no other suspicion
+		defer close(done)
+		quarantine.node.tell(ctx, quarantine.node.mesh.Connected(), known)
+	}()
+	return done
+}
+
+// shareWithin tells all connected members of the suspicions that are new, and waits for them for at most limit.
+func (quarantine *quarantine) shareWithin(ctx context.Context, limit time.Duration) {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-quarantine.share(context.WithoutCancel(ctx)):
+	case <-timer.C:
 	}
 }
