node: an incarnation that is listed late is not taken for an engine's end

What callers saw: nothing yet; a request was suspected that had ended no engine.

Cause: a run that a live engine broke off is counted once a later incarnation is listed at its address. If the sender had not been listed the present incarnation when it sent the request, that incarnation is the one that ran it, and its listing proves no end. Now an incarnation counts as later only if it started in the millisecond in which the run was sent, or after it.

Failed first: TestIncarnationListedLate.

--- a/io/process/node/engine_end.go
+++ b/io/process/node/engine_end.go
@@ -74,10 +74,12 @@
 	})
 }
 
-// engineListed counts runs that the engine at the address of listed broke off lately, if listed is a later incarnation.
+// engineListed counts runs that the engine at the address of listed broke off lately, if listed is a later incarnation. One that
+// had started before the run was sent ran the request itself, and this process has merely learned of it late.
 func (quarantine *quarantine) engineListed(listed fleet.Engine) {
 	quarantine.confirmEnds("a new incarnation is listed", func(broken brokenRun) bool {
-		return broken.Engine.Address == listed.Address && broken.Engine.StartUnixMilli < listed.StartUnixMilli
+		later := broken.Engine.StartUnixMilli < listed.StartUnixMilli && broken.Sent.UnixMilli() <= listed.StartUnixMilli
+		return broken.Engine.Address == listed.Address && later
 	})
 }
 
--- a/io/process/node/quarantine_test.go
+++ b/io/process/node/quarantine_test.go
@@ -79,6 +79,32 @@
 	}
 }
 
+// TestIncarnationListedLate checks that a run that a live engine broke off is not counted as an end when the incarnation that ran
+// it is listed to this process only afterwards.
+func TestIncarnationListedLate(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	sent := time.Now()
+	address := listener.Addr().String()
+	believed := fleet.Engine{ID: "e1", StartUnixMilli: sent.Add(-time.Minute).UnixMilli(), Address: address}
+	current := fleet.Engine{ID: "e1", StartUnixMilli: sent.Add(-time.Second).UnixMilli(), Address: address}
+	later := fleet.Engine{ID: "e1", StartUnixMilli: sent.Add(time.Second).UnixMilli(), Address: address}
+	node := newTestNode()
+	fingerprint := poisonpill.FingerprintOf("POST", "host", "/", nil)
+	node.CheckEngineEnd(context.Background(), EngineRun{Engine: believed, Fingerprint: fingerprint, Sent: sent, Events: 1})
+	node.quarantine.engineListed(current)
+	if node.quarantine.ledger.Suspected(fingerprint) {
+		t.Error("the end of an engine was counted that had started before the request was sent, and is alive")
+	}
+	node.quarantine.engineListed(later)
+	if !node.quarantine.ledger.Suspected(fingerprint) {
+		t.Error("the end of an engine was not counted although a later incarnation is listed")
+	}
+}
+
 // TestClearanceKeepsLaterEnds checks that an end after the time of a clearance, which the ledger keeps, is still written to the
 // store.
 func TestClearanceKeepsLaterEnds(t *testing.T) {
