node: an engine that is listed again before its end shows is counted

Cause: a run waits for a later incarnation to be listed from the moment at which its response was found to be broken off. The watch brought the record of the new incarnation 0.2 ms earlier (log of the failed run), and nothing looked at it again. Now the engines that are listed already are looked at too.

Failed first: TestIncarnationListedEarly.

--- a/io/process/node/directory.go
+++ b/io/process/node/directory.go
@@ -195,6 +195,18 @@
 	delete(directory.lapsed, id)
 }
 
+// engineAt returns the engine that was listed last at an address.
+func (directory *directory) engineAt(address string) (listed fleet.Engine, ok bool) {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	for _, engine := range directory.engines {
+		if engine.Address == address && (!ok || engine.ListedRevision > listed.ListedRevision) {
+			listed, ok = engine, true
+		}
+	}
+	return listed, ok
+}
+
 // lapse handles the removal of an engine's record. Shortly after an outage of the store, the engine may merely have been
 // unable to renew its record: the engine is then used until lapseGrace after the store became reachable again.
 func (directory *directory) lapse(id string) {
--- a/io/process/node/engine_end.go
+++ b/io/process/node/engine_end.go
@@ -64,6 +64,9 @@
 	}
 	telemetry.EngineChecks.Add("accepted", 1)
 	node.quarantine.awaitEnd(broken)
+	if listed, ok := node.directory.engineAt(run.Engine.Address); ok {
+		node.quarantine.engineListed(listed) // it may have been listed before the response was found to be broken off
+	}
 	if run.Events > 0 {
 		return // an engine that a request ends has seldom sent an event by then
 	}
--- a/io/process/node/quarantine_test.go
+++ b/io/process/node/quarantine_test.go
@@ -105,6 +105,27 @@
 	}
 }
 
+// TestIncarnationListedEarly checks that a run is counted whose engine has started again and been listed before its response is
+// found to be broken off.
+func TestIncarnationListedEarly(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	sent := time.Now()
+	believed := fleet.Engine{ID: "e1", StartUnixMilli: sent.Add(-time.Minute).UnixMilli(), Address: listener.Addr().String()}
+	later := believed
+	later.StartUnixMilli = sent.Add(time.Millisecond).UnixMilli()
+	node := newTestNode()
+	node.directory.engines[later.ID] = later
+	fingerprint := poisonpill.FingerprintOf("POST", "host", "/", nil)
+	node.CheckEngineEnd(context.Background(), EngineRun{Engine: believed, Fingerprint: fingerprint, Sent: sent})
+	if !node.quarantine.ledger.Suspected(fingerprint) {
+		t.Error("the end of an engine was not counted although a later incarnation is listed")
+	}
+}
+
 // TestClearanceKeepsLaterEnds checks that an end after the time of a clearance, which the ledger keeps, is still written to the
 // store.
 func TestClearanceKeepsLaterEnds(t *testing.T) {
