--- a/core/coordination/poisonpill/ledger.go
+++ b/core/coordination/poisonpill/ledger.go
@@ -86,7 +86,7 @@
 	if !end.Ended.After(known.clearedAt) || now.Sub(end.Ended) > EndLifetime {
 		return false
 	}
-	if slices.ContainsFunc(known.ends, func(other EngineEnd) bool { return end.spans(other) }) {
+	if slices.ContainsFunc(known.ends, end.spans) {
 		return false
 	}
 	ends := slices.DeleteFunc(slices.Clone(known.ends), func(other EngineEnd) bool { return other.spans(end) })
