quota: the tokens that wait on a batch route are bounded across all processes

What callers saw: the bound of a route (`cap`) was read nowhere. Any number of tokens could wait.

Chosen: a job that fits by the view is accepted without a further call as long as the process has used no more than its share of half of the overshoot within 4 s; all other jobs are counted by compare-and-swap on one record a route, in the transaction that accepts the job, so there is no moment between reservation and job and nothing leaks. The counter only grows. The difference between the newest one and that in the view is what the view lacks; the view itself tells what waits. What does not fit is rejected at once with 429 and the time that the excess takes at the rate of the last 10 s. A job that exists is answered 202 again, also while nothing fits: before a rejection the store is asked for it.

--- a/core/state/jobrecord/jobrecord.go
+++ b/core/state/jobrecord/jobrecord.go
@@ -115,10 +115,32 @@
 	Ownership VersionedOwnership
 	Results   []Result // in the order of their chunks
 	Chunks    int      // number of chunks in Results
+	Waiting   int64    // tokens of the items without a result; 0 if the job has ended
+}
+
+// countWaiting sets Waiting, and returns by how much it has decreased.
+func (view *View) countWaiting() (finished int64) {
+	before := view.Waiting
+	view.Waiting = 0
+	if view.Job != nil && !view.Ownership.Ended && len(view.Results) < len(view.Job.Items) {
+		done := make(map[string]bool, len(view.Results))
+		for _, result := range view.Results {
+			done[result.ID] = true
+		}
+		for _, item := range view.Job.Items {
+			if !done[item.ID] {
+				view.Waiting += int64(item.Tokens)
+			}
+		}
+	}
+	return max(0, before-view.Waiting)
 }
 
 // Cache holds the views of all jobs. The change feed of the store keeps it up to date.
 type Cache struct {
+	// OnFinished is called with a job and the tokens of its items that no longer wait. It may be nil.
+	OnFinished func(job *Job, tokens int64)
+
 	jobs   map[string]*View
 	chunks map[string]map[int]Chunk // chunks received before an earlier chunk of the same job, by job ID and number
 }
@@ -175,6 +197,7 @@
 			return err
 		}
 		cache.view(id).Job = job
+		cache.recount(id)
 	case strings.HasPrefix(key, ownershipPrefix):
 		id := strings.TrimPrefix(key, ownershipPrefix)
 		if deleted {
@@ -186,6 +209,7 @@
 		}
 		if view := cache.view(id); revision > view.Ownership.Epoch {
 			view.Ownership = ownership
+			cache.recount(id)
 		}
 	case strings.HasPrefix(key, resultPrefix):
 		return cache.applyChunk(strings.TrimPrefix(key, resultPrefix), value, deleted)
@@ -193,6 +217,14 @@
 	return nil
 }
 
+// recount brings View.Waiting of a job up to date.
+func (cache *Cache) recount(id string) {
+	view := cache.view(id)
+	if finished := view.countWaiting(); finished > 0 && cache.OnFinished != nil {
+		cache.OnFinished(view.Job, finished)
+	}
+}
+
 // applyChunk appends a chunk to the results of its job, or keeps it until all earlier chunks have been received.
 func (cache *Cache) applyChunk(name string, value []byte, deleted bool) (err error) {
 	var number int
@@ -212,6 +244,7 @@
 		cache.chunks[id] = map[int]Chunk{}
 	}
 	cache.chunks[id][number] = chunk
+	defer cache.recount(id)
 	for {
 		next, ok := cache.chunks[id][view.Chunks]
 		if !ok {
--- a/core/state/routes/routes.go
+++ b/core/state/routes/routes.go
@@ -44,6 +44,8 @@
 	Shares        []Share
 	BatchTarget   time.Duration // target for the time from the submission of a batch job to its last result
 	BatchLifetime time.Duration // time from the submission of a batch job after which items may be abandoned
+	// MaxWaitingTokens bounds the tokens of accepted items that no engine has finished; 0 means no limit.
+	MaxWaitingTokens int64
 }
 
 // Retryable reports whether a request that may have been executed may be sent again.
--- a/io/process/ingress/jobs.go
+++ b/io/process/ingress/jobs.go
@@ -59,15 +59,25 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(request.Context()), submitTimeout)
 	defer cancel()
-	err = server.createJob(ctx, txn)
+	job := submission{call: call, route: route, txn: txn, items: len(items), tokens: tokensOf(items)}
+	if route.MaxWaitingTokens > 0 {
+		server.submitBounded(ctx, writer, job)
+		return
+	}
+	server.answerSubmission(writer, job, server.createJob(ctx, txn))
+}
+
+// answerSubmission answers the submission of a batch job that was written, or could not be. decisionFields tell why it was
+// accepted.
+func (server *Server) answerSubmission(writer http.ResponseWriter, job submission, err error, decisionFields ...zap.Field) {
 	switch {
 	case err == nil:
 		writer.WriteHeader(http.StatusAccepted)
-		server.Log.Info("job accepted", zap.String("job", call.RequestID), zap.Int("items", len(items)))
+		server.Log.Info("job accepted", append(decisionFields, zap.String("job", job.call.RequestID), zap.Int("items", job.items))...)
 	case errors.Is(err, store.ErrNotExecuted):
-		server.reject(writer, call, http.StatusServiceUnavailable, outageRetryAfter, "not run: "+err.Error())
+		server.reject(writer, job.call, http.StatusServiceUnavailable, outageRetryAfter, "not run: "+err.Error())
 	default:
-		server.reject(writer, call, http.StatusGatewayTimeout, 0, "the job may have been accepted: "+err.Error())
+		server.reject(writer, job.call, http.StatusGatewayTimeout, 0, "the job may have been accepted: "+err.Error())
 	}
 }
 
@@ -107,23 +117,11 @@
 // createJob commits txn, with retries until ctx ends. The cause of its error is store.ErrNotExecuted where the job was not
 // created and no earlier call can still create it. A job that exists already is not an error.
 func (server *Server) createJob(ctx context.Context, txn store.Txn) (err error) {
-	uncertain := false // whether an earlier call may still take effect
-	for {
-		_, _, err = server.Node.Store.Commit(ctx, txn)
-		if err == nil || errors.Is(err, store.ErrConflict) {
-			return nil
-		}
-		uncertain = uncertain || !errors.Is(err, store.ErrNotExecuted)
-		select {
-		case <-ctx.Done():
-			if uncertain {
-				// The cause of err concerns the last call only; an earlier one may have taken effect.
-				return errors.Annotate(store.ErrOutcomeUnknown, err.Error())
-			}
-			return err
-		case <-time.After(commitRetryDelay):
-		}
+	_, _, err = server.commitUntilKnown(ctx, txn)
+	if errors.Is(err, store.ErrConflict) {
+		return nil
 	}
+	return err
 }
 
 // findJob returns the view of a job. While the view lacks the job, it waits for changes and then reads the store to
--- a/io/process/ingress/server.go
+++ b/io/process/ingress/server.go
@@ -35,12 +35,14 @@
 	Callers port.Callers
 	Log     *zap.Logger
 
-	stopping atomic.Bool
+	stopping   atomic.Bool
+	admissions admissions
 }
 
 // Run serves callers until ctx ends, and then shuts down gracefully within the grace period of the settings.
 func (server *Server) Run(ctx context.Context) (err error) {
 	defer func() { err = errors.Annotate(err, "serving callers") }()
+	server.admissions.started = time.Now()
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	callerListener, err := listen(ctx, server.Node.Settings.Listen)
--- a/io/process/node/directory.go
+++ b/io/process/node/directory.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"cowslipway/core/coordination/quota"
 	"cowslipway/core/state/fleet"
 	"cowslipway/core/state/jobrecord"
 	"cowslipway/core/state/routes"
@@ -23,6 +24,7 @@
 
 const (
 	memberPrefix = "members/"
+	quotaPrefix  = "quota/" // followed by a hash of a route's name
 	// lapseGrace is how long an engine without a record is still used after an outage of the store.
 	lapseGrace = 2 * time.Second
 )
@@ -41,10 +43,14 @@
 	members        map[string]fleet.Member // by name
 	retiring       map[string]string       // keys of the records of retiring VMs, by name
 	jobs           jobrecord.Cache
-	asOf           time.Time     // the view reflects the store at this time or later
-	source         string        // Update.Source of the last update
-	reachableSince time.Time     // when the store last became reachable after an outage
-	changed        chan struct{} // closed at the next change of any record
+	counters       map[string]quota.Counter // of accepted tokens, by the names of their records
+	listedCounters map[string]quota.Counter // to replace counters once the jobs have been listed too
+	finished       map[string]int64         // tokens of items that were seen to be finished, by route
+	listing        bool                     // records are being listed: their changes are not new
+	asOf           time.Time                // the view reflects the store at this time or later
+	source         string                   // Update.Source of the last update
+	reachableSince time.Time                // when the store last became reachable after an outage
+	changed        chan struct{}            // closed at the next change of any record
 }
 
 // init sets up an empty view.
@@ -56,6 +62,8 @@
 	directory.members = map[string]fleet.Member{}
 	directory.engines = map[string]fleet.Engine{}
 	directory.lapsed = map[string]time.Time{}
+	directory.counters, directory.listedCounters, directory.finished = map[string]quota.Counter{}, map[string]quota.Counter{}, map[string]int64{}
+	directory.jobs.OnFinished = directory.countFinished
 }
 
 // markStoreReachable records that the store has become reachable after an outage.
@@ -75,6 +83,7 @@
 // apply updates the view with an update from the store.
 func (directory *directory) apply(update store.Update) {
 	directory.mutex.Lock()
+	directory.listing = update.Reset
 	if update.Reset {
 		directory.removeMissing(update.Prefix, update.Items)
 	}
@@ -97,6 +106,8 @@
 			if id, ok := strings.CutPrefix(name, memberPrefix); ok {
 				directory.applyMember(id, item)
 				membersChanged = true
+			} else if strings.HasPrefix(name, quotaPrefix) {
+				directory.applyCounter(name, item, update)
 			} else if strings.HasPrefix(name, suspicionPrefix) {
 				if err := directory.node.quarantine.applyRecord(item); err != nil {
 					directory.node.Log.Warn("suspicion ignored", zap.String("key", item.Key), telemetry.Err(err))
@@ -147,8 +158,12 @@
 			delete(directory.retiring, name)
 		}
 	}
-	if prefix == records.OwnKey("") {
+	switch prefix {
+	case records.OwnKey(quotaPrefix):
+		directory.listedCounters = map[string]quota.Counter{}
+	case records.OwnKey(""):
 		directory.jobs.Clear()
+		directory.counters = directory.listedCounters
 	}
 }
 
--- a/io/process/node/node.go
+++ b/io/process/node/node.go
@@ -155,7 +155,7 @@
 func (node *Node) FollowStore(ctx context.Context) {
 	follower := &store.Follower{
 		Store:          node.Store,
-		Prefixes:       node.Records.Prefixes(suspicionPrefix, memberPrefix),
+		Prefixes:       node.Records.Prefixes(quotaPrefix, suspicionPrefix, memberPrefix),
 		Pace:           followPace,
 		Wait:           followWait,
 		Handle:         node.directory.apply,
--- a/io/process/settings/member.go
+++ b/io/process/settings/member.go
@@ -24,6 +24,10 @@
 	GracePeriod   config.Duration `json:"grace_period"`   // from SIGTERM to SIGKILL
 	LogLevel      string          `json:"log_level"`      // debug, info, warn or error
 
+	// QuotaOvershoot is the share of a route's bound on waiting tokens by which processes that do not know of each other's jobs
+	// yet may exceed it.
+	QuotaOvershoot float64 `json:"quota_overshoot"`
+
 	// ResultRetention is the time after the submission of a batch job for which its results are kept once it has ended; 0
 	// keeps them without limit.
 	ResultRetention config.Duration `json:"result_retention"`
@@ -55,5 +59,6 @@
 	checker.inRange("cores", member.Cores, 0.01, 1024)
 	checker.duration("grace_period", member.GracePeriod, 500*time.Millisecond, time.Hour)
 	checker.duration("result_retention", member.ResultRetention, 0, 30*24*time.Hour)
+	checker.inRange("quota_overshoot", member.QuotaOvershoot, 0, 1)
 	checker.oneOf("log_level", member.LogLevel, "debug", "info", "warn", "error")
 }
--- a/io/process/telemetry/events.go
+++ b/io/process/telemetry/events.go
@@ -62,11 +62,11 @@
 
 	{"placed", "request route configuration engine attempt urgent load candidates waiting waited view_age events first since_arrival", "an online request is about to be sent to an engine; urgent to view_age describe the placement decision"},
 	{"attempt", "request route configuration engine attempt outcome cause fingerprint events first since_arrival", "an attempt at an engine ended; fingerprint identifies the request by its content, whatever its identifier, and is set if the outcome is unknown"},
-	{"refused", "request job status retry_after reason urgent load candidates waiting waited view_age fingerprint ends until", "a call ended with an error status: it was rejected, or its attempts failed; fingerprint, ends and until describe its quarantine if it is quarantined"},
+	{"refused", "request job status retry_after reason urgent load candidates waiting waited view_age fingerprint ends until quota tokens tokens_waiting tokens_allowed", "a call ended with an error status: it was rejected, or its attempts failed; fingerprint, ends and until describe its quarantine if it is quarantined; quota and the fields after it describe the decision about a batch job on a route whose waiting tokens are bounded"},
 	{"caller gone", "request route configuration engine attempt events first since_arrival", "the caller disconnected before the response was complete"},
 	{"broken off", "request route configuration engine attempt events first since_arrival reason", "a response was interrupted after part of it had been sent, and no engine could resume it"},
 
-	{"job accepted", "job items", "the job was written to the store"},
+	{"job accepted", "job items quota tokens tokens_waiting tokens_allowed view_age", "the job was written to the store; the fields from quota on describe the decision on a route whose waiting tokens are bounded"},
 	{"no results", "job after known items view_age view_source store_asked took outcome", "a call for the results of an unfinished job got none: outcome is an empty page, behind if the view may lack results, or job not found; known is the number of results in the view, and took the time since the call arrived"},
 	{"job claimed", "job owner epoch error", "this worker tried to take over a job whose owner is not live; owner is the former owner, and error is set if the claim failed, for example because another worker claimed the job first"},
 	{"job adopted", "job epoch written items begun", "this worker starts to run a job that it owns; written and begun are the numbers of items with a result and with saved progress"},
@@ -84,6 +84,7 @@
 	{"item given up: it has no route", "job request configuration", "no route matches the item; its result is an error"},
 	{"results not written yet", "writes error", "writing results failed; the same write is retried"},
 	{"results could not be encoded", "error", "results could not be encoded for the store; this is a bug"},
+	{"counter ignored", "key error", "the record with the tokens that were accepted on a route could not be decoded"},
 	{"batch record ignored", "key error", "the record could not be decoded"},
 	{"progress read", "jobs lines_left_out", "the saved progress of items was read from the disk; lines_left_out is the number of lines that could not be decoded"},
 	{"progress not read", "file error", "a file with saved progress could not be read from the disk"},
--- a/io/process/telemetry/metrics.go
+++ b/io/process/telemetry/metrics.go
@@ -36,6 +36,7 @@
 	QueueTime       = newHistograms("queue_seconds", "outcome", "time that an online request waited in the queue")
 	Attempts        = newCounters("attempts", "outcome", "attempts to serve an online request at an engine")
 	EngineResults   = newCounters("engine_results", "engine and outcome", "attempts to serve an online request and runs of batch items, by engine")
+	QuotaDecisions  = newCounters("quota_decisions", "verdict", "decisions about batch jobs on routes whose waiting tokens are bounded")
 	Items           = newCounters("items", "verdict", "finished runs of batch items")
 	ItemTime        = newHistograms("item_seconds", "verdict", "duration of a run of a batch item")
 	EngineChecks    = newCounters("engine_checks", "result", "checks whether an engine that broke off a response has ended")
