node: an engine's end that a lost process saw reaches all members

Cause: i2 was connected to i1 only, and writes to the store a second later. i1 and, once it was back, i2 knew of the end from each other, and nobody told i3. A member now writes an end that a peer has told it to the store 4 to 8 s later, unless the view shows the record by then, which is the case wherever the peer lives.

Failed first: TestEndOfLostPeer, without the new call.

--- a/io/process/node/quarantine.go
+++ b/io/process/node/quarantine.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,8 +29,9 @@
 	broken     []brokenRun                    // whose engines still accepted connections, oldest first
 	announced  map[poisonpill.Fingerprint]int // number of ends for which a quarantine was logged
 	unshared   suspicionSet                   // to be told to the peers
-	told       chan struct{}                  // closed once the peers have been told of what was shared last
+	shared     chan struct{}                  // closed once the peers have been told of what was shared last
 	unsaved    []poisonpill.EngineEnd         // to be written to the store, oldest first
+	told       []toldEnd                      // by peers, to be written to the store if they do not
 	clearances []poisonpill.Clearance         // to be written to the store
 	saving     bool                           // a write to the store is in progress, or its outcome is unknown
 	saved      map[string]time.Time           // times of the records in the store, by key
@@ -37,14 +39,21 @@
 	wakeSave   chan struct{}                  // there is something to save
 }
 
+// toldEnd is an engine's end that a peer has told.
+type toldEnd struct {
+	poisonpill.EngineEnd
+
+	due time.Time // when it is written to the store if the peer has not done so
+}
+
 // init sets up an empty quarantine.
 func (quarantine *quarantine) init(node *Node) {
 	quarantine.node = node
 	quarantine.ledger.MaxRequests = maxSuspects
 	quarantine.announced = map[poisonpill.Fingerprint]int{}
 	quarantine.saved = map[string]time.Time{}
-	quarantine.told = make(chan struct{})
-	close(quarantine.told) // nothing has been shared yet
+	quarantine.shared = make(chan struct{})
+	close(quarantine.shared) // nothing has been shared yet
 	quarantine.wakeShare, quarantine.wakeSave = make(chan struct{}, 1), make(chan struct{}, 1)
 }
 
@@ -115,6 +124,9 @@
 	if len(removed) == 0 {
 		return false
 	}
+	quarantine.told = slices.DeleteFunc(quarantine.told, func(told toldEnd) bool {
+		return told.Fingerprint == clearance.Fingerprint && !told.Ended.After(clearance.At)
+	})
 	unsaved := quarantine.unsaved[:0]
 	waiting := 0
 	for _, end := range quarantine.unsaved {
--- a/io/process/node/quarantine_test.go
+++ b/io/process/node/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -14,6 +15,8 @@
 
 	"cowslipway/core/coordination/poisonpill"
 	"cowslipway/core/state/fleet"
+	"cowslipway/io/port"
+	"cowslipway/io/store"
 	"cowslipway/io/transport/upstream"
 )
 
@@ -144,6 +147,37 @@
 	}
 }
 
+// TestEndOfLostPeer checks that an end that a peer has told is written to the store if the peer does not write it, and only then.
+func TestEndOfLostPeer(t *testing.T) {
+	node := newTestNode()
+	node.Records = recordNames{}
+	now := time.Now()
+	lost := poisonpill.EngineEnd{Fingerprint: poisonpill.FingerprintOf("POST", "host", "/lost", nil), Engine: "e1/1", Process: "i2", Sent: now, Ended: now}
+	kept := lost
+	kept.Fingerprint = poisonpill.FingerprintOf("POST", "host", "/kept", nil)
+	node.quarantine.merge(suspicionSet{Ends: []poisonpill.EngineEnd{lost, kept, lost}})
+	value, err := json.Marshal(kept)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err = node.quarantine.applyRecord(store.Item{Key: node.quarantine.endKey(kept), Value: value, Revision: 1}); err != nil {
+		t.Fatal(err)
+	}
+	if txn, _, _ := node.quarantine.nextTxn(now.Add(peerSaveDelay - time.Second)); txn.Entries() != 0 {
+		t.Errorf("%d ends are written before the peer can be expected to have written them", txn.Entries())
+	}
+	if _, ends, _ := node.quarantine.nextTxn(now.Add(2*peerSaveDelay + time.Second)); len(ends) != 1 || ends[0] != lost {
+		t.Errorf("%v are written, want the end that the store does not have", ends)
+	}
+}
+
+// recordNames is a port.Records that stores records under their names.
+type recordNames struct {
+	port.Records // nil, so that a call which the test does not expect panics
+}
+
+func (recordNames) OwnKey(name string) (key string) { return name }
+
 // TestChecksKeepFewConnections checks that an engine that breaks off responses and lives is not left with more open connections
 // after each check: an engine accepts a limited number from all processes, and resets those beyond it.
 func TestChecksKeepFewConnections(t *testing.T) {
--- a/io/process/node/suspicion_records.go
+++ b/io/process/node/suspicion_records.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -25,6 +26,9 @@
 	// served by the next engine within that time, and then cost no write.
 	saveDelay      = time.Second
 	saveRetryDelay = 500 * time.Millisecond
+	// peerSaveDelay is the shortest time after which a process writes an end to the store in place of the peer that saw it, which
+	// does so after saveDelay; the record is in all views within 1.6 s. The longest time is twice that.
+	peerSaveDelay = 4 * time.Second
 	// sweepAfter is the age of the records of suspicions that are removed from the store: clocks of VMs differ by up to 5 s.
 	sweepAfter = poisonpill.EndLifetime + 10*time.Second
 )
@@ -140,7 +144,7 @@
 func (quarantine *quarantine) save(ctx context.Context) (next time.Duration, ok bool) {
 	quarantine.mutex.Lock()
 	txn, ends, clearances := quarantine.nextTxn(time.Now())
-	waiting := len(quarantine.unsaved)+len(quarantine.clearances) > 0
+	waiting := len(quarantine.unsaved)+len(quarantine.told)+len(quarantine.clearances) > 0
 	quarantine.saving = quarantine.saving || txn.Entries() > 0
 	quarantine.mutex.Unlock()
 	if txn.Entries() == 0 {
@@ -154,8 +158,13 @@
 	defer quarantine.mutex.Unlock()
 	quarantine.saving = false
 	quarantine.unsaved = without(quarantine.unsaved, ends)
+	written := make(map[poisonpill.EngineEnd]bool, len(ends))
+	for _, end := range ends {
+		written[end] = true
+	}
+	quarantine.told = slices.DeleteFunc(quarantine.told, func(told toldEnd) bool { return written[told.EngineEnd] })
 	quarantine.clearances = without(quarantine.clearances, clearances)
-	return 0, len(quarantine.unsaved)+len(quarantine.clearances) > 0
+	return 0, len(quarantine.unsaved)+len(quarantine.told)+len(quarantine.clearances) > 0
 }
 
 // without returns the values that are not among removed.
@@ -183,11 +192,23 @@
 			clearances = append(clearances, clearance)
 		}
 	}
+	add := func(end poisonpill.EngineEnd) {
+		value, _ := json.Marshal(end) // strings and times only
+		txn.Writes = append(txn.Writes, store.Write{Key: quarantine.endKey(end), Value: value})
+		ends = append(ends, end)
+	}
 	for _, end := range quarantine.unsaved {
 		if now.Sub(end.Ended) >= saveDelay && txn.Entries() < store.MaxTxnEntries {
-			value, _ := json.Marshal(end) // strings and times only
-			txn.Writes = append(txn.Writes, store.Write{Key: quarantine.endKey(end), Value: value})
-			ends = append(ends, end)
+			add(end)
+		}
+	}
+	quarantine.told = slices.DeleteFunc(quarantine.told, func(told toldEnd) bool {
+		_, saved := quarantine.saved[quarantine.endKey(told.EngineEnd)]
+		return saved
+	})
+	for _, told := range quarantine.told {
+		if !now.Before(told.due) && txn.Entries() < store.MaxTxnEntries {
+			add(told.EngineEnd)
 		}
 	}
 	return txn, ends, clearances
--- a/io/process/node/suspicion_sharing.go
+++ b/io/process/node/suspicion_sharing.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -47,13 +48,25 @@
 	quarantine.mutex.Lock()
 	defer quarantine.mutex.Unlock()
 	for _, end := range told.Ends {
-		quarantine.add(end)
+		if _, saved := quarantine.saved[quarantine.endKey(end)]; quarantine.add(end) && !saved {
+			quarantine.keepForPeer(end)
+		}
 	}
 	for _, clearance := range told.Clearances {
 		quarantine.clear(clearance, "another member cleared it")
 	}
 }
 
+// keepForPeer writes an end that a peer has told to the store after some time, unless the view shows it by then: the peer may be
+// lost before it has written it, or has told all others. The mutex must be held.
+func (quarantine *quarantine) keepForPeer(end poisonpill.EngineEnd) {
+	due := time.Now().Add(peerSaveDelay + rand.N(peerSaveDelay))
+	if quarantine.told = append(quarantine.told, toldEnd{EngineEnd: end, due: due}); len(quarantine.told) > maxUnsavedEnds {
+		quarantine.told = quarantine.told[1:]
+	}
+	quarantine.requestFlush()
+}
+
 // greet tells a member that has connected of all engine ends that count.
 func (node *Node) greet(ctx context.Context, memberID string) {
 	node.quarantine.mutex.Lock()
@@ -114,10 +127,10 @@
 	defer quarantine.mutex.Unlock()
 	known := quarantine.unshared
 	if len(known.Ends)+len(known.Clearances) == 0 {
-		return quarantine.told
+		return quarantine.shared
 	}
 	done := make(chan struct{})
-	quarantine.unshared, quarantine.told = suspicionSet{}, done
+	quarantine.unshared, quarantine.shared = suspicionSet{}, done
 	go func() { // a peer that does not answer delays no other suspicion
 		defer close(done)
 		quarantine.node.tell(ctx, quarantine.node.mesh.Connected(), known)
