upstream: the time of the last byte does not follow the time of day

An ingress cancels a resumable stream whose engine has sent nothing for its idle timeout. The time of the last byte was kept in Unix nanoseconds, so a jump of the time of day by more than the timeout cancelled all sound streams of the process at once, and a jump back kept stalled ones.

The time is now kept from a base with a monotonic reading.

--- a/io/transport/upstream/pool.go
+++ b/io/transport/upstream/pool.go
@@ -44,14 +44,19 @@
 
 	mutex        sync.Mutex
 	idle         map[string][]*connection // by address, the most recently used last
-	lastReceived sync.Map                 // address to *atomic.Int64: time of the last byte received, in Unix nanoseconds
+	lastReceived sync.Map                 // address to *atomic.Int64: time of the last byte received, as nanoseconds since clockBase
 }
 
-// LastReceived returns the time of the last byte received from the engine at address. If none was received, the time is zero
-// or the Unix epoch.
+// clockBase is a time with a monotonic reading. Times that are kept as the time since then do not move when the time of day jumps.
+var clockBase = time.Now()
+
+// LastReceived returns the time of the last byte received from the engine at address. If none was received, the time is
+// zero.
 func (pool *Pool) LastReceived(address string) time.Time {
 	if last, ok := pool.lastReceived.Load(address); ok {
-		return time.Unix(0, last.(*atomic.Int64).Load())
+		if elapsed := last.(*atomic.Int64).Load(); elapsed > 0 {
+			return clockBase.Add(time.Duration(elapsed))
+		}
 	}
 	return time.Time{}
 }
@@ -66,7 +71,7 @@
 func (tracker receiveTracker) Read(data []byte) (n int, err error) {
 	n, err = tracker.Conn.Read(data)
 	if n > 0 {
-		tracker.lastReceived.Store(time.Now().UnixNano())
+		tracker.lastReceived.Store(int64(time.Since(clockBase)))
 	}
 	return n, err
 }
