ingress: a job that does not fit is refused with 503 while the store does not respond

What callers saw: 504, "the job may have been accepted", for a job that did not fit, when the read that tells whether it was accepted elsewhere got no response. Nothing had been written by the call. Failed first: quota_faults, "The store does not respond" (504). A read that fails now answers 503, not run.

--- a/io/process/ingress/submission.go
+++ b/io/process/ingress/submission.go
@@ -145,10 +145,14 @@
 		case quota.Reject, quota.Defer:
 			// The job may have been accepted at another process, which the view does not show yet.
 			_, exists, err := server.Node.Store.Get(ctx, job.txn.Conditions[0].Key)
+			if err != nil {
+				// A read that fails leaves no doubt: nothing was written.
+				return usage, decision, errors.Annotate(store.ErrNotExecuted, err.Error())
+			}
 			if exists {
 				decision.Verdict = quota.AcceptCounted
 			}
-			return usage, decision, err
+			return usage, decision, nil
 		case quota.AcceptCounted:
 		}
 		changed, err := server.commitCounted(ctx, admission, job, usage.Latest)
