placement: requests with a long shared prefix prefer two engines

Cause: requests were placed by load alone, so the ten or so requests about one document met about as many engines, and each read it anew: 50 to 380 ms of prompt reading, beside which the engine's other requests wait.

Requests whose shared parts have 1,024 tokens or more now prefer the two engines that come first in rendezvous hashing of these parts, if one of them has a free slot or a batch item to preempt, and go by load otherwise. All processes compute the same order, so no message and no call to the store is needed, and a hot document spreads by load. Shorter parts are read again faster than a bad distribution costs, and keep going by load; batch items still do too.

--- a/core/coordination/placement/placement.go
+++ b/core/coordination/placement/placement.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -55,6 +54,7 @@
 	Domain   string    // failure domain preferred among equally loaded engines
 	Excluded []uint64  // digests of engines that must not be chosen
 	Deadline time.Time // latest useful start of an online request
+	Prefix   Prefix    // shared part of the prompt of an online request
 }
 
 // Decision is the result of placing an online request. The request was admitted, waits in the queue (Ticket is not 0),
@@ -288,7 +288,7 @@
 		drawn := position + pool.Random.IntN(len(engines)-position)
 		engines[position], engines[drawn] = engines[drawn], engines[position]
 		candidate := engines[position]
-		if candidate.Draining || candidate.health(now) != health || slices.Contains(request.Excluded, candidate.digest) {
+		if !pool.eligible(now, candidate, request, health) {
 			continue
 		}
 		eligible++
@@ -305,6 +305,11 @@
 	return chosen, eligible
 }
 
+// eligible reports whether an engine may be chosen for a request among those with the given health.
+func (pool *Pool) eligible(now time.Time, candidate *engine, request Request, health health) bool {
+	return !candidate.Draining && candidate.health(now) == health && !slices.Contains(request.Excluded, candidate.digest)
+}
+
 // AcquireOnline places an online request: at an engine with a free slot, else at one where it preempts a batch item,
 // else in the queue. The request is rejected if no engine can run it or if it would wait beyond its deadline.
 func (pool *Pool) AcquireOnline(now time.Time, request Request) (decision Decision) {
@@ -339,6 +344,11 @@
 		}
 		chosen, eligible := pool.pick(now, request, health, onlineChoices, free, load)
 		decision.Candidates += eligible
+		if health == healthy {
+			if cached := pool.pickCached(now, request, free, preemptible); cached != nil {
+				chosen = cached
+			}
+		}
 		if chosen == nil && eligible > 0 {
 			chosen, _ = pool.pick(now, request, health, onlineChoices, preemptible, onlineLoad)
 		}
@@ -587,8 +597,5 @@
 		hash = xxhash.Sum64String(process)
 		pool.processHashes[process] = hash
 	}
-	var pair [16]byte
-	binary.BigEndian.PutUint64(pair[:8], hash)
-	binary.BigEndian.PutUint64(pair[8:], digest)
-	return xxhash.Sum64(pair[:])
+	return rendezvousScore(hash, digest)
 }
--- a/core/coordination/placement/placement_test.go
+++ b/core/coordination/placement/placement_test.go
@@ -154,8 +154,8 @@
 	return ""
 }
 
-// online places online requests, with the arguments wait (time until the deadline, 240 ms by default) and times (1 by
-// default), and returns the decisions and how often each was made.
+// online places online requests, with the arguments wait (time until the deadline, 240 ms by default), times (1 by default)
+// and prefix (digest and tokens of the shared part of the prompt), and returns the decisions and how often each was made.
 func (script *script) online(arguments map[string]string) string {
 	wait := 240 * time.Millisecond
 	if text, ok := arguments["wait"]; ok {
@@ -168,9 +168,14 @@
 		_, err := fmt.Sscan(text, &times)
 		must(script.t, err)
 	}
+	var prefix Prefix
+	if text, ok := arguments["prefix"]; ok {
+		_, err := fmt.Sscanf(text, "%d:%d", &prefix.Digest, &prefix.Tokens)
+		must(script.t, err)
+	}
 	summary := map[string]int{}
 	for range times {
-		decision := script.pool.AcquireOnline(script.now, Request{Service: "llm", Deadline: script.now.Add(wait)})
+		decision := script.pool.AcquireOnline(script.now, Request{Service: "llm", Deadline: script.now.Add(wait), Prefix: prefix})
 		summary[describe(decision)]++
 	}
 	var lines []string
--- a/io/port/port.go
+++ b/io/port/port.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"cowslipway/core/coordination/placement"
 	"cowslipway/core/state/fleet"
 	"cowslipway/core/state/jobrecord"
 	"cowslipway/core/state/routes"
@@ -59,6 +60,8 @@
 	ItemID      string
 	After       int           // number of results that the caller already has
 	Wait        time.Duration // longest time to wait for more results
+	// Prefix is the part of the prompt that other requests share, which an engine may have cached.
+	Prefix placement.Prefix
 }
 
 // Attempt holds the header values that the system sets on a request to an engine.
--- a/io/process/ingress/online.go
+++ b/io/process/ingress/online.go
@@ -246,7 +246,7 @@
 	if online.headerSent {
 		deadline = time.Now().Add(online.route.MaxPause)
 	}
-	return placement.Request{Service: online.service, Domain: online.server.Node.Settings.FailureDomain, Excluded: online.excluded, Deadline: deadline}
+	return placement.Request{Service: online.service, Domain: online.server.Node.Settings.FailureDomain, Excluded: online.excluded, Deadline: deadline, Prefix: online.call.Prefix}
 }
 
 // rejectUnserved ends a request that no engine has served: with an error status, or by closing the connection where the
