entry: ready once target daemons have the configuration

Cause: an entry was ready when it had a configuration and was connected to one target daemon. That daemon might not have received the configuration, and the only target of a service might be at another one.

--- a/io/process/entry/control.go
+++ b/io/process/entry/control.go
@@ -30,6 +30,7 @@
 	lastHeartbeat time.Time
 	lastTick      time.Time
 
+	readiness     readiness
 	batches       batchState
 	drainRequests map[string]bool // names of the target daemons whose drain operators have requested
 }
@@ -68,6 +69,7 @@
 		control.reconnect()
 	}
 	control.entry.lastTick.Store(control.now.UnixNano())
+	control.updateReadiness()
 	control.tickBatches(paused)
 	if control.now.Sub(control.lastHeartbeat) >= heartbeatInterval {
 		control.heartbeat()
@@ -121,7 +123,7 @@
 		}
 	}
 	control.entry.fleet.Store(published)
-	control.entry.ready.Store(len(published.daemons) > 0 && control.entry.configurations.Current().Version > 0)
+	control.updateReadiness()
 }
 
 // vmListEvent carries the VMs of the settings and of the platform's list. The list lags behind, so it only says at which
--- a/io/process/entry/entry.go
+++ b/io/process/entry/entry.go
@@ -62,7 +62,7 @@
 	inFlight       atomic.Int64 // requests of client accounts that are being served
 	draining       atomic.Bool
 	stopping       atomic.Bool // draining, and Drain.BalancerWait is over
-	ready          atomic.Bool // a daemon is connected and a configuration adopted
+	ready          atomic.Bool // see readiness
 }
 
 // Run serves requests until ctx is done and then drains. It returns an error if it cannot listen or serve.
