node: each engine end that becomes known is logged

Which member saw an end, how long ago, and how many of the reported ends count towards a quarantine, tell apart a request whose ends are not seen, are learned late, or are not counted.

--- a/core/coordination/poisonpill/ledger.go
+++ b/core/coordination/poisonpill/ledger.go
@@ -131,6 +131,19 @@
 	return len(known.ends) > 0
 }
 
+// Counts returns the number of ends that were reported for a request and still count in time, and how many of them count towards
+// its quarantine.
+func (ledger *Ledger) Counts(now time.Time, fingerprint Fingerprint) (reported, counted int) {
+	ledger.init()
+	known, _ := ledger.requests.Peek(fingerprint)
+	for _, end := range known.ends {
+		if now.Sub(end.Ended) <= EndLifetime {
+			reported++
+		}
+	}
+	return reported, len(oneAfterAnother(known.ends, now))
+}
+
 // Quarantine returns the quarantine of a request; ok reports whether it is quarantined.
 func (ledger *Ledger) Quarantine(now time.Time, fingerprint Fingerprint) (quarantine Quarantine, ok bool) {
 	ledger.init()
--- a/io/process/node/quarantine.go
+++ b/io/process/node/quarantine.go
@@ -99,6 +99,9 @@
 		return false
 	}
 	quarantine.suspects.Store(int32(quarantine.ledger.Len())) //nolint:gosec // at most maxSuspects
+	reported, counted := quarantine.ledger.Counts(now, end.Fingerprint)
+	quarantine.node.Log.Info("engine end learned", zap.Stringer("fingerprint", end.Fingerprint), zap.String("request", end.Request), zap.String("engine", end.Engine),
+		zap.String("member", end.Process), zap.Duration("age", now.Sub(end.Ended)), zap.Int("reported", reported), zap.Int("counted", counted))
 	found, quarantined := quarantine.ledger.Quarantine(now, end.Fingerprint)
 	if !quarantined || len(found.Ends) <= quarantine.announced[end.Fingerprint] {
 		return true
