poisonpill: engines that copies of a request end at the same time all count

Cause: an end counted only if its run had been sent after the end before it, so that a wave of copies at all engines was one end, and three waves passed. The rule was there since an outage that ends several engines at once says little about a request. It says much about one with a copy at each.

Why this works: each engine that ended counts, whatever its runs' overlap; reports of one end by several processes are one, known by the engine's ID and the time of the run. As copies of an innocent request at engines that an outage ends look the same, such a quarantine is unproven while fewer than three ends came one after another: one copy in the fleet, claimed in the store as workers claim trials, runs at once, while the others are rejected with a Retry-After of 1 s. It completes and clears the request, or its engine's end proves more. Three trials in all, as before, so that at most three runs follow the quarantine.

--- a/core/coordination/poisonpill/ledger.go
+++ b/core/coordination/poisonpill/ledger.go
@@ -3,13 +3,14 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 )
 
 const (
-	// quarantineEnds is how many engines have to end under a request, one after another, before it is quarantined.
+	// quarantineEnds is how many engines have to end under a request before it is quarantined.
 	quarantineEnds = 3
 	// EndLifetime is how long an engine's end counts against a request.
 	EndLifetime = 10 * time.Minute
@@ -36,12 +37,16 @@
 
 // Quarantine is the state of a request under which several engines have ended.
 type Quarantine struct {
-	Ends  []EngineEnd // in the order in which they happened
+	Ends  []EngineEnd // one for each engine that ended, in the order in which they happened
 	Until time.Time   // end of the quarantine, if no other engine ends: fewer than quarantineEnds count from then on
 	// Trial is the time from which the request may run once more, as one process decides for all; it equals Until if there are
 	// no trials left.
-	Trial  time.Time
-	Trials int // trials left
+	Trial       time.Time
+	Trials      int // trials left
+	TrialNumber int // of the next trial: quarantineEnds, and one more for each trial that ended an engine
+	// Unproven is set while fewer than quarantineEnds of the ends happened one after another. An outage that ends several engines
+	// at once looks the same to a request with a copy at each, so the next trial, which is due at once, may be any copy.
+	Unproven bool
 }
 
 // Clearance ends the suspicion against a request: engine ends up to its time do not count.
@@ -51,8 +56,8 @@
 }
 
 // Ledger collects the engine ends that all processes of a fleet report, in any order and any number of times, and tells
-// which requests are quarantined as a result. Ends count against a request only if they happened one after another: an
-// outage that ends several engines at once says no more than the end of one. It must not be used concurrently.
+// which requests are quarantined as a result. Each engine that ended counts, also where copies of a request ran at several
+// engines at the same time. It must not be used concurrently.
 type Ledger struct {
 	MaxRequests int // requests kept; those that changed longest ago are forgotten first
 
@@ -141,22 +146,31 @@
 			reported++
 		}
 	}
-	return reported, len(oneAfterAnother(known.ends, now))
+	return reported, len(distinctEnds(known.ends, now))
 }
 
 // Quarantine returns the quarantine of a request; ok reports whether it is quarantined.
 func (ledger *Ledger) Quarantine(now time.Time, fingerprint Fingerprint) (quarantine Quarantine, ok bool) {
 	ledger.init()
 	known, _ := ledger.requests.Peek(fingerprint)
-	quarantine.Ends = oneAfterAnother(known.ends, now)
+	quarantine.Ends = distinctEnds(known.ends, now)
 	count := len(quarantine.Ends)
 	if count < quarantineEnds {
 		return Quarantine{}, false
 	}
+	sequence := oneAfterAnother(quarantine.Ends)
 	quarantine.Until = quarantine.Ends[count-quarantineEnds].Ended.Add(EndLifetime)
 	quarantine.Trial = quarantine.Until
-	quarantine.Trials = max(0, quarantineEnds+maxTrials-count)
-	if quarantine.Trials > 0 {
+	quarantine.Unproven = len(sequence) < quarantineEnds
+	// Copies that were sent before the third end were no trials: nothing was known by then.
+	failed := len(oneAfterAnother(sentAfter(quarantine.Ends, quarantine.Ends[quarantineEnds-1].Ended)))
+	quarantine.TrialNumber = quarantineEnds + failed
+	quarantine.Trials = max(0, maxTrials-failed)
+	switch {
+	case quarantine.Trials == 0:
+	case quarantine.Unproven:
+		quarantine.Trial = quarantine.Ends[count-1].Ended
+	default:
 		quarantine.Trial = quarantine.Ends[count-1].Ended.Add(trialDelay)
 	}
 	return quarantine, true
@@ -188,13 +202,27 @@
 	return cmp.Or(a.Ended.Compare(b.Ended), a.Sent.Compare(b.Sent), cmp.Compare(a.Engine, b.Engine), cmp.Compare(a.Process, b.Process))
 }
 
-// oneAfterAnother returns the longest sequence of the ordered ends that still count in which each request was sent after
-// the engine before it had ended.
-func oneAfterAnother(ordered []EngineEnd, now time.Time) (sequence []EngineEnd) {
+// distinctEnds returns one end for each engine that ended, of the ordered ends that still count. Reports of processes whose
+// requests an engine had at the same time are of the same end.
+func distinctEnds(ordered []EngineEnd, now time.Time) (distinct []EngineEnd) {
+	last := map[string]EngineEnd{} // by the ID of the engine
 	for _, end := range ordered {
 		if now.Sub(end.Ended) > EndLifetime {
 			continue
 		}
+		if earlier, ok := last[end.engineID()]; ok && !end.follows(earlier) {
+			continue
+		}
+		last[end.engineID()] = end
+		distinct = append(distinct, end)
+	}
+	return distinct
+}
+
+// oneAfterAnother returns the longest sequence of the ordered ends in which each request was sent after the engine before it had
+// ended.
+func oneAfterAnother(ordered []EngineEnd) (sequence []EngineEnd) {
+	for _, end := range ordered {
 		if len(sequence) == 0 || end.follows(sequence[len(sequence)-1]) {
 			sequence = append(sequence, end)
 		}
@@ -202,11 +230,28 @@
 	return sequence
 }
 
+// sentAfter returns the ends whose requests were sent at a time or later.
+func sentAfter(ends []EngineEnd, earliest time.Time) (later []EngineEnd) {
+	for _, end := range ends {
+		if !end.Sent.Before(earliest) {
+			later = append(later, end)
+		}
+	}
+	return later
+}
+
+// engineID returns the ID of the engine without its start time, which differs between processes that learn of a restart at
+// different times.
+func (end EngineEnd) engineID() string {
+	id, _, _ := strings.Cut(end.Engine, "/")
+	return id
+}
+
 // follows reports whether the request of end was sent after the engine of earlier had ended. An engine that has ended runs
 // requests again only as another incarnation, whichever one the sender believes in.
 func (end EngineEnd) follows(earlier EngineEnd) bool {
 	gap := end.Sent.Sub(earlier.Ended)
-	if end.Engine == earlier.Engine && end.Process != earlier.Process {
+	if end.engineID() == earlier.engineID() && end.Process != earlier.Process {
 		return gap >= clockTolerance
 	}
 	return gap >= 0
--- a/core/coordination/poisonpill/ledger_test.go
+++ b/core/coordination/poisonpill/ledger_test.go
@@ -56,7 +56,11 @@
 					fmt.Fprintf(&out, "suspected: %v\n", ledger.Suspected(fingerprint(words[1])))
 					continue
 				}
-				fmt.Fprintf(&out, "quarantined: %d ends, until %s, %d trials from %s\n", len(quarantine.Ends), quarantine.Until.Sub(start), quarantine.Trials, quarantine.Trial.Sub(start))
+				unproven := ""
+				if quarantine.Unproven {
+					unproven = ", unproven"
+				}
+				fmt.Fprintf(&out, "quarantined: %d ends, until %s, %d trials from %s%s\n", len(quarantine.Ends), quarantine.Until.Sub(start), quarantine.Trials, quarantine.Trial.Sub(start), unproven)
 			case "all":
 				fmt.Fprintf(&out, "ends: %d of %d requests\n", len(ledger.All(now)), ledger.Len())
 			case "ledger": // ledger MAX_REQUESTS
--- a/io/process/ingress/online.go
+++ b/io/process/ingress/online.go
@@ -39,7 +39,9 @@
 	// maxConnectFailures bounds how many engines may refuse a connection without using up the attempts that the route
 	// allows: a whole failure domain or half of a service may be down, and a connection is refused within 1 ms.
 	maxConnectFailures = 8
-	copyBufferBytes    = 16 << 10
+	// trialRetryAfter covers the claim of a trial and the run of most requests.
+	trialRetryAfter = time.Second
+	copyBufferBytes = 16 << 10
 	// bufferedBodyBytes is how much of a response that is not a stream is read before its header is forwarded, so that
 	// another engine can still be tried when the connection breaks.
 	bufferedBodyBytes = 64 << 10
@@ -55,6 +57,9 @@
 // quarantinedReason is the reason for which a request is rejected under which several engines have ended.
 const quarantinedReason = "quarantined, since engines ended while they ran this request"
 
+// unprovenReason is the reason for which a request is rejected while another copy of it is tried.
+const unprovenReason = "quarantined until one copy has run, since engines ended while they ran copies of this request"
+
 // outcome is the result of one attempt.
 type outcome uint8
 
@@ -88,6 +93,8 @@
 	connectFailures int      // engines that did not accept a connection
 	excluded        []uint64 // digests of the engines tried
 	mayHaveExecuted bool
+	reachedEngine   bool                    // in at least one attempt
+	trial           int                     // number of the trial that the request runs as; 0 if it is none
 	headerSent      bool                    // the caller has been sent status and header
 	streaming       bool                    // the response is a stream of events
 	lastEventID     string                  // ID of the last event sent to the caller
@@ -150,11 +157,16 @@
 		ctx, cancel = context.WithDeadline(ctx, online.deadline)
 		defer cancel()
 	}
+	defer func() {
+		if online.trial != 0 {
+			online.server.Node.ReturnTrial(online.fingerprint(), online.trial, online.reachedEngine)
+		}
+	}()
 	retryAfter, reason := time.Duration(0), ""
 	var fields []zap.Field // of the decision not to send the request to an engine
 	for online.attempts < online.route.MaxAttempts && ctx.Err() == nil {
-		if quarantine, ok := online.server.Node.Quarantined(online.fingerprint); ok {
-			retryAfter, reason, fields = time.Until(quarantine.Until), quarantinedReason, online.quarantineFields(quarantine)
+		if quarantine, ok := online.server.Node.Quarantined(online.fingerprint); ok && !online.mayTry(ctx, quarantine) {
+			retryAfter, reason, fields = online.rejectQuarantined(quarantine)
 			break
 		}
 		acquireStarted := time.Now()
@@ -168,14 +180,15 @@
 			fields = online.decisionFields(decision, waited)
 			break
 		}
-		if quarantine, ok := online.server.Node.Quarantined(online.fingerprint); ok { // since it began to wait for the slot
+		if quarantine, ok := online.server.Node.Quarantined(online.fingerprint); ok && !online.mayTry(ctx, quarantine) { // since it began to wait for the slot
 			online.server.Node.Release(decision.Engine, false)
-			retryAfter, reason, fields = time.Until(quarantine.Until), quarantinedReason, online.quarantineFields(quarantine)
+			retryAfter, reason, fields = online.rejectQuarantined(quarantine)
 			break
 		}
 		online.attempts++
 		online.log("placed", decision.Engine, online.decisionFields(decision, waited)...)
 		result, cause := online.attempt(ctx, decision.Engine)
+		online.reachedEngine = online.reachedEngine || result != notExecuted
 		telemetry.Attempts.Add(result.String(), 1)
 		telemetry.EngineResults.Add(decision.Engine.ID+" "+result.String(), 1)
 		online.log("attempt", decision.Engine, zap.Stringer("outcome", result), telemetry.NamedErr("cause", cause), online.fingerprintField(result))
@@ -234,6 +247,27 @@
 	}
 }
 
+// mayTry reports whether the request may run although it is quarantined, as the only copy in the fleet that does.
+func (online *onlineRequest) mayTry(ctx context.Context, quarantine poisonpill.Quarantine) (allowed bool) {
+	if online.trial != 0 {
+		return online.trial == quarantine.TrialNumber && !online.reachedEngine
+	}
+	if !online.server.Node.TakeTrial(ctx, online.fingerprint(), online.call.RequestID, quarantine) {
+		return false
+	}
+	online.trial = quarantine.TrialNumber
+	return true
+}
+
+// rejectQuarantined returns why a quarantined request is rejected and when it may run again. While its quarantine is unproven, that
+// is once a trial has completed.
+func (online *onlineRequest) rejectQuarantined(quarantine poisonpill.Quarantine) (retryAfter time.Duration, reason string, fields []zap.Field) {
+	if quarantine.Unproven {
+		return trialRetryAfter, unprovenReason, online.quarantineFields(quarantine)
+	}
+	return time.Until(quarantine.Until), quarantinedReason, online.quarantineFields(quarantine)
+}
+
 // quarantineFields returns the log fields for the quarantine of the request.
 func (online *onlineRequest) quarantineFields(quarantine poisonpill.Quarantine) []zap.Field {
 	return []zap.Field{zap.Stringer("fingerprint", online.fingerprint()), zap.Int("ends", len(quarantine.Ends)), zap.Time("until", quarantine.Until)}
--- a/io/process/node/quarantine.go
+++ b/io/process/node/quarantine.go
@@ -35,8 +35,9 @@
 	clearances []poisonpill.Clearance         // to be written to the store
 	saving     bool                           // a write to the store is in progress, or its outcome is unknown
 	saved      map[string]time.Time           // times of the records in the store, by key
-	wakeShare  chan struct{}                  // there is something to share
-	wakeSave   chan struct{}                  // there is something to save
+	trials     map[poisonpill.Fingerprint]*heldTrial
+	wakeShare  chan struct{} // there is something to share
+	wakeSave   chan struct{} // there is something to save
 }
 
 // toldEnd is an engine's end that a peer has told.
@@ -52,6 +53,7 @@
 	quarantine.ledger.MaxRequests = maxSuspects
 	quarantine.announced = map[poisonpill.Fingerprint]int{}
 	quarantine.saved = map[string]time.Time{}
+	quarantine.trials = map[poisonpill.Fingerprint]*heldTrial{}
 	quarantine.shared = make(chan struct{})
 	close(quarantine.shared) // nothing has been shared yet
 	quarantine.wakeShare, quarantine.wakeSave = make(chan struct{}, 1), make(chan struct{}, 1)
--- a/io/process/node/suspicion_records.go
+++ b/io/process/node/suspicion_records.go
@@ -33,13 +33,6 @@
 	sweepAfter = poisonpill.EndLifetime + 10*time.Second
 )
 
-// trial is the record that a process runs a quarantined request once.
-type trial struct {
-	Fingerprint poisonpill.Fingerprint `json:"fingerprint"`
-	Process     string                 `json:"process"` // member ID
-	At          time.Time              `json:"at"`
-}
-
 // endKey returns the key of the record of an engine's end. Each run has a key of its own: the engine may have started again
 // since the incarnation that the sender believed in.
 func (quarantine *quarantine) endKey(end poisonpill.EngineEnd) string {
@@ -52,36 +45,6 @@
 	return suspicionPrefix + fingerprint.String() + "/" + clearanceName
 }
 
-// ClaimTrial claims the next trial of a request under which a number of engines have ended, so that it runs once in the whole
-// fleet. The cause of its error is store.ErrConflict if another process has claimed the trial. A claim older than lifetime is
-// claimed again: its trial would have ended an engine or cleared the request by then, so the process was lost.
-func (node *Node) ClaimTrial(ctx context.Context, fingerprint poisonpill.Fingerprint, ends int, lifetime time.Duration) (err error) {
-	defer func() { err = errors.Annotatef(err, "claiming trial %d of %s", ends, fingerprint) }()
-	value, err := json.Marshal(trial{Fingerprint: fingerprint, Process: node.self.ID(), At: time.Now()})
-	if err != nil {
-		return err
-	}
-	key := node.Records.OwnKey(fmt.Sprintf("%s%s/%s%d", suspicionPrefix, fingerprint, trialName, ends))
-	claim := func(revision int64) (current []store.Item, err error) {
-		_, current, err = node.Store.Commit(ctx, store.Txn{Conditions: []store.Condition{{Key: key, Revision: revision}}, Writes: []store.Write{{Key: key, Value: value}}})
-		return current, err
-	}
-	current, err := claim(0)
-	if !errors.Is(err, store.ErrConflict) || len(current) != 1 {
-		return err
-	}
-	var known trial
-	switch decodeErr := json.Unmarshal(current[0].Value, &known); {
-	case decodeErr != nil:
-		return decodeErr
-	case known.Process == node.self.ID():
-		return nil // the response to an earlier claim was lost
-	case time.Since(known.At) > lifetime:
-		_, err = claim(current[0].Revision)
-	}
-	return err
-}
-
 // decodeSuspicion decodes the record of an engine's end, of a clearance or of a trial.
 func decodeSuspicion(item store.Item) (read suspicionSet, err error) {
 	defer func() { err = errors.Annotatef(err, "decoding %q", item.Key) }()
--- a/io/process/worker/trial.go
+++ b/io/process/worker/trial.go
@@ -9,20 +9,20 @@
 
 	"cowslipway/core/coordination/jobrunner"
 	"cowslipway/core/coordination/poisonpill"
+	"cowslipway/io/process/node"
 	"cowslipway/io/process/telemetry"
 	"cowslipway/io/store"
 )
 
 const (
 	claimDelay      = 250 * time.Millisecond // between two checks whether a trial has been claimed
-	lostTrialDelay  = 15 * time.Second       // after a trial that neither completed nor ended its engine, or was claimed and not run
 	maxKnownTrials  = 4096                   // bounds the memory
 	claimRetryDelay = time.Second            // after the store did not answer a claim
 )
 
 // trial is a run of a quarantined item that this worker has claimed, or tried to.
 type trial struct {
-	ends    int       // number of engine ends at the time of the claim
+	ends    int       // number of the trial: of the engine ends before it, without those of copies that ran at the same time
 	spent   int       // trials that reached an engine and neither completed nor ended it
 	item    string    // ID of the item that runs
 	claimed bool      // the trial belongs to this worker
@@ -57,7 +57,7 @@
 // mayTry reports whether an item may run now as the trial after a number of engine ends. Until it has been claimed, mayTry
 // claims the trial in the background.
 func (worker *Worker) mayTry(ctx context.Context, now time.Time, fingerprint poisonpill.Fingerprint, item string, quarantine poisonpill.Quarantine) (allowed bool) {
-	known, ends := worker.trials[fingerprint], len(quarantine.Ends)
+	known, ends := worker.trials[fingerprint], quarantine.TrialNumber
 	if known != nil && known.ends == ends && (known.retryAt.IsZero() || now.Before(known.retryAt)) {
 		return known.item == item && !known.from.IsZero() && !now.Before(known.from)
 	}
@@ -73,7 +73,7 @@
 	}
 	worker.trials[fingerprint] = claim
 	go func() {
-		err := worker.Node.ClaimTrial(ctx, fingerprint, ends+claim.spent, lostTrialDelay)
+		err := worker.Node.ClaimTrial(ctx, fingerprint, ends+claim.spent)
 		if err != nil && !errors.Is(err, store.ErrConflict) {
 			time.Sleep(claimRetryDelay)
 		}
@@ -82,7 +82,7 @@
 			case err == nil:
 				claim.claimed, claim.from = true, time.Now()
 			case errors.Is(err, store.ErrConflict):
-				claim.retryAt = time.Now().Add(lostTrialDelay)
+				claim.retryAt = time.Now().Add(node.TrialLifetime)
 			default:
 				claim.retryAt = time.Now()
 			}
@@ -117,7 +117,7 @@
 		known.from = time.Now()
 	case jobrunner.Interrupted, jobrunner.Errored:
 		known.spent++
-		known.retryAt = time.Now().Add(lostTrialDelay)
+		known.retryAt = time.Now().Add(node.TrialLifetime)
 	case jobrunner.Finished, jobrunner.Invalid: // the item has its result
 	}
 }
