ingress, platform: logs name the software version of engines, and what a caller resumes

The version of an engine's software was decoded and dropped, and the header by which a caller names the request that began its stream was not read.

--- a/core/state/fleet/fleet.go
+++ b/core/state/fleet/fleet.go
@@ -17,10 +17,12 @@
 	Service        string
 	Address        string // IP address and port
 	FailureDomain  string
-	Slots          int // requests that the engine runs at once
-	Draining       bool
-	Warmup         time.Duration // time after the start during which the engine is slow
-	ListedRevision int64         // revision of the store at which this incarnation was first seen
+	// SoftwareVersion is the version of the engine's software. What one version streams does not continue the stream of another.
+	SoftwareVersion string
+	Slots           int // requests that the engine runs at once
+	Draining        bool
+	Warmup          time.Duration // time after the start during which the engine is slow
+	ListedRevision  int64         // revision of the store at which this incarnation was first seen
 }
 
 // NewestByAddress returns the engine with the highest ListedRevision at each address, sorted by ID. An engine that crashed
--- a/io/port/port.go
+++ b/io/port/port.go
@@ -56,6 +56,7 @@
 	RequestID   string
 	Remaining   time.Duration // time until the caller's deadline; 0 if it has none
 	LastEventID string        // ID of the last event that the caller received; the stream resumes after it, or starts if it is empty
+	BegunBy     string        // ID of the request that brought the first event of a stream that the caller resumes
 	JobID       string
 	ItemID      string
 	After       int           // number of results that the caller already has
--- a/io/process/node/directory.go
+++ b/io/process/node/directory.go
@@ -197,9 +197,9 @@
 		return
 	}
 	known, ok := directory.engines[id]
-	if !ok || known.Draining != engine.Draining || known.StartUnixMilli != engine.StartUnixMilli || known.Address != engine.Address {
+	if !ok || known.Draining != engine.Draining || known.StartUnixMilli != engine.StartUnixMilli || known.Address != engine.Address || known.SoftwareVersion != engine.SoftwareVersion {
 		directory.node.Log.Info("engine listed", zap.String("engine", engine.Incarnation()), zap.String("address", engine.Address),
-			zap.String("service", engine.Service), zap.Bool("draining", engine.Draining), zap.Int64("revision", item.Revision))
+			zap.String("service", engine.Service), zap.String("software", engine.SoftwareVersion), zap.Bool("draining", engine.Draining), zap.Int64("revision", item.Revision))
 	}
 	directory.node.quarantine.engineListed(engine)
 	engine.ListedRevision = item.Revision
--- a/io/process/telemetry/events.go
+++ b/io/process/telemetry/events.go
@@ -38,7 +38,7 @@
 
 	{"configuration in force", "version revision routes", "a newer routing table took effect"},
 	{"configuration ignored", "revision error", "the configuration could not be decoded; the previous one stays in force"},
-	{"engine listed", "engine address service draining revision", "an engine was added to the list or its record changed"},
+	{"engine listed", "engine address service software draining revision", "an engine was added to the list or its record changed"},
 	{"engine gone", "engine", "the engine is no longer in the list; it gets no more requests"},
 	{"engine's entry ignored", "engine error", "the engine's record could not be decoded; the engine gets no requests"},
 	{"engine's entry missing after an outage", "engine used_until", "the engine's record expired shortly after a store outage; the engine is used until used_until, since it may only have been unable to renew its record"},
@@ -61,9 +61,9 @@
 	{"member not told of suspicions", "member error", "telling a peer of requests under which engines ended failed; it reads them from the store, or is told when it connects again"},
 	{"suspicions not written yet", "writes error", "writing requests under which engines ended to the store failed; it is retried"},
 
-	{"placed", "request route configuration engine attempt urgent load candidates waiting waited view_age events first since_arrival", "an online request is about to be sent to an engine; urgent to view_age describe the placement decision"},
+	{"placed", "request route configuration engine software begun_by attempt urgent load candidates waiting waited view_age events first since_arrival", "an online request is about to be sent to an engine with this software version; begun_by is the request that began a stream which the caller resumes; urgent to view_age describe the placement decision"},
 	{"attempt", "request route configuration engine attempt outcome cause fingerprint events first since_arrival", "an attempt at an engine ended; fingerprint identifies the request by its content, whatever its identifier, and is set if the outcome is unknown"},
-	{"refused", "request job status retry_after reason urgent load candidates waiting waited view_age fingerprint ends until quota tokens tokens_waiting tokens_allowed", "a call ended with an error status: it was rejected, or its attempts failed; fingerprint, ends and until describe its quarantine if it is quarantined; quota and the fields after it describe the decision about a batch job on a route whose waiting tokens are bounded"},
+	{"refused", "request job status retry_after reason software begun_by urgent load candidates waiting waited view_age fingerprint ends until quota tokens tokens_waiting tokens_allowed", "a call ended with an error status: it was rejected, or its attempts failed; fingerprint, ends and until describe its quarantine if it is quarantined; quota and the fields after it describe the decision about a batch job on a route whose waiting tokens are bounded"},
 	{"caller gone", "request route configuration engine attempt events first since_arrival", "the caller disconnected before the response was complete"},
 	{"broken off", "request route configuration engine attempt events first since_arrival reason", "a response was interrupted after part of it had been sent, and no engine could resume it"},
 
