ingress: a stream goes on only at the software version that began it

Cause: the version was decoded from an engine's record and dropped, and the ID by which a caller names the request that began its stream was not read. Placement could not tell engines apart, and which version began a stream was known to nobody but the engine.

Why this works: placement of a resumed stream takes engines of one version only. The ingress records the build (service and version) before the stream is sent to an engine.

--- a/core/coordination/placement/placement.go
+++ b/core/coordination/placement/placement.go
@@ -51,6 +51,7 @@
 // Request describes an online request or a batch item that needs a slot.
 type Request struct {
 	Service  string    // service whose engines can run the request
+	Version  string    // software version that the engine must have, to resume a stream; empty if it may have any
 	Domain   string    // failure domain preferred among equally loaded engines
 	Excluded []uint64  // digests of engines that must not be chosen
 	Deadline time.Time // latest useful start of an online request
@@ -307,6 +308,9 @@
 
 // eligible reports whether an engine may be chosen for a request among those with the given health.
 func (pool *Pool) eligible(now time.Time, candidate *engine, request Request, health health) bool {
+	if request.Version != "" && candidate.SoftwareVersion != request.Version {
+		return false
+	}
 	return !candidate.Draining && candidate.health(now) == health && !slices.Contains(request.Excluded, candidate.digest)
 }
 
@@ -364,6 +368,13 @@
 	return decision, false
 }
 
+// Serves reports whether an engine of a build takes requests.
+func (pool *Pool) Serves(build fleet.Build) bool {
+	return slices.ContainsFunc(pool.enginesByService[build.Service], func(engine *engine) bool {
+		return engine.SoftwareVersion == build.Version && !engine.Draining
+	})
+}
+
 // Overloaded reports whether the known load of an engine exceeds its slots, so that requests may have to wait at the
 // engine. It is false for an unknown engine.
 func (pool *Pool) Overloaded(now time.Time, descriptor fleet.Engine) bool {
@@ -519,7 +530,7 @@
 		ok := false
 		if !full[waiter.request.Service] {
 			decision, ok = pool.acquireSlot(now, waiter.request)
-			full[waiter.request.Service] = !ok && len(waiter.request.Excluded) == 0
+			full[waiter.request.Service] = !ok && len(waiter.request.Excluded) == 0 && waiter.request.Version == ""
 		}
 		switch {
 		case ok:
--- a/core/state/fleet/fleet.go
+++ b/core/state/fleet/fleet.go
@@ -42,6 +42,17 @@
 	return engine.ID + "/" + strconv.FormatInt(engine.StartUnixMilli, 10)
 }
 
+// Build identifies what an engine streams: a service at a software version.
+type Build struct {
+	Service string `json:"service"`
+	Version string `json:"version"`
+}
+
+// Build returns the build of the engine.
+func (engine Engine) Build() Build {
+	return Build{Service: engine.Service, Version: engine.SoftwareVersion}
+}
+
 // Digest returns a hash of the incarnation, which identifies it in messages between processes.
 func (engine Engine) Digest() uint64 { return xxhash.Sum64String(engine.Incarnation()) }
 
--- a/core/state/routes/routes.go
+++ b/core/state/routes/routes.go
@@ -1,6 +1,7 @@
 package routes
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -53,6 +54,11 @@
 	return route.Kind == Safe || route.Kind == Batch || route.Kind == Stream && route.Resumable
 }
 
+// LeadsTo reports whether requests of the route may go to a service.
+func (route Route) LeadsTo(service string) bool {
+	return slices.ContainsFunc(route.Shares, func(share Share) bool { return share.Service == service })
+}
+
 // SelectService returns the service for the request with the given ID, or "" if the route has no shares. The result depends
 // only on the ID and the shares; over many requests, the services are chosen in proportion to their weights.
 func (route Route) SelectService(id string) string {
--- a/io/process/ingress/online.go
+++ b/io/process/ingress/online.go
@@ -60,6 +60,20 @@
 // unprovenReason is the reason for which a request is rejected while another copy of it is tried.
 const unprovenReason = "quarantined until one copy has run, since engines ended while they ran copies of this request"
 
+// The reasons for which a caller cannot resume a stream.
+const (
+	versionGoneReason    = "no engine has the software version that began the stream any longer"
+	versionUnknownReason = "it is not known which software version began the stream"
+	serviceGoneReason    = "the route no longer leads to the service that began the stream"
+)
+
+const (
+	// noRetry is the retry delay of a rejection that a repeat would meet again.
+	noRetry = time.Duration(-1)
+	// unknownRetryAfter is the retry delay where a member that may know the stream did not respond.
+	unknownRetryAfter = 300 * time.Millisecond
+)
+
 // outcome is the result of one attempt.
 type outcome uint8
 
@@ -95,6 +109,7 @@
 	mayHaveExecuted bool
 	reachedEngine   bool                    // in at least one attempt
 	trial           int                     // number of the trial that the request runs as; 0 if it is none
+	version         string                  // software version at which the stream began and may go on; empty while it may begin at any
 	headerSent      bool                    // the caller has been sent status and header
 	streaming       bool                    // the response is a stream of events
 	lastEventID     string                  // ID of the last event sent to the caller
@@ -139,6 +154,9 @@
 		arrived: arrived, lastEventID: call.LastEventID,
 	}
 	online.request.RequestURI = uri
+	if online.call.LastEventID != "" && online.resumable() && !online.findVersion() {
+		return
+	}
 	remaining := call.Remaining
 	if route.Timeout > 0 && (remaining == 0 || route.Timeout < remaining) {
 		remaining = route.Timeout
@@ -149,6 +167,48 @@
 	online.run()
 }
 
+// resumable reports whether the response is a stream that another engine may resume.
+func (online *onlineRequest) resumable() bool {
+	return online.route.Kind == routes.Stream && online.route.Resumable
+}
+
+// build returns the build at which the stream may go on.
+func (online *onlineRequest) build() fleet.Build {
+	return fleet.Build{Service: online.service, Version: online.version}
+}
+
+// findVersion sets service and version to those that began the stream which the caller resumes. If they are not known, or no longer
+// serve, it rejects the request at once and returns false: the caller can then begin anew.
+func (online *onlineRequest) findVersion() (ok bool) {
+	started, begunBy := time.Now(), online.call.BegunBy
+	if begunBy != "" {
+		online.service = online.route.SelectService(begunBy) // as for the request that began the stream
+	}
+	found, known := online.server.Node.FindStream(online.request.Context(), begunBy, online.service, node.StreamWindow(online.route.Timeout))
+	retryAfter, reason, outcome := noRetry, "", "found"
+	switch {
+	case !known:
+		reason, outcome = versionUnknownReason, "unknown"
+		if found.Silent > 0 {
+			retryAfter = unknownRetryAfter
+		}
+	case !online.route.LeadsTo(found.Build.Service):
+		reason, outcome = serviceGoneReason, "service gone"
+	case !online.server.Node.Serves(found.Build):
+		reason, outcome = versionGoneReason, "version gone"
+	}
+	telemetry.Resumptions.Add(outcome, 1)
+	online.server.Log.Info("resumption", zap.String("request", online.call.RequestID), zap.String("begun_by", begunBy), zap.String("last_event", online.call.LastEventID),
+		zap.String("service", found.Build.Service), zap.String("software", found.Build.Version), zap.String("source", found.Source), zap.Int("asked", found.Asked),
+		zap.Int("silent", found.Silent), zap.Duration("took", time.Since(started)), zap.Duration("view_age", online.server.Node.ViewAge()), zap.String("outcome", outcome))
+	if reason != "" {
+		online.server.reject(online.writer, online.call, http.StatusServiceUnavailable, retryAfter, "not run: "+reason)
+		return false
+	}
+	online.service, online.version = found.Build.Service, found.Build.Version
+	return true
+}
+
 // run tries one engine after another until one has served the request or no further attempt is allowed.
 func (online *onlineRequest) run() {
 	ctx := online.request.Context()
@@ -177,6 +237,9 @@
 		}
 		if !decision.Admitted {
 			retryAfter, reason = decision.RetryAfter, decision.Reason
+			if online.version != "" && decision.Candidates == 0 && !online.server.Node.Serves(online.build()) {
+				retryAfter, reason = noRetry, versionGoneReason
+			}
 			fields = online.decisionFields(decision, waited)
 			break
 		}
@@ -186,6 +249,9 @@
 			break
 		}
 		online.attempts++
+		if online.resumable() && online.version == "" {
+			online.server.Node.RecordStream(ctx, online.call.RequestID, decision.Engine.Build(), online.attempts+online.connectFailures, node.StreamWindow(online.route.Timeout))
+		}
 		online.log("placed", decision.Engine, online.decisionFields(decision, waited)...)
 		result, cause := online.attempt(ctx, decision.Engine)
 		online.reachedEngine = online.reachedEngine || result != notExecuted
@@ -202,6 +268,9 @@
 			online.recordOutcome(result.String())
 			return
 		}
+		if online.events > 0 && online.resumable() {
+			online.version = decision.Engine.SoftwareVersion
+		}
 		online.excluded = append(online.excluded, decision.Engine.Digest())
 		reason = "engine failed"
 		if result == unknown {
@@ -281,7 +350,7 @@
 	if online.headerSent {
 		deadline = time.Now().Add(online.route.MaxPause)
 	}
-	return placement.Request{Service: online.service, Domain: online.server.Node.Settings.FailureDomain, Excluded: online.excluded, Deadline: deadline, Prefix: online.call.Prefix}
+	return placement.Request{Service: online.service, Version: online.version, Domain: online.server.Node.Settings.FailureDomain, Excluded: online.excluded, Deadline: deadline, Prefix: online.call.Prefix}
 }
 
 // rejectUnserved ends a request that no engine has served: with an error status, or by closing the connection where the
@@ -304,7 +373,10 @@
 		if reason == "" {
 			reason = "time is up"
 		}
-		online.server.reject(online.writer, online.call, http.StatusServiceUnavailable, max(retryAfter, notReadyRetryAfter/10), "not run: "+reason, decisionFields...)
+		if retryAfter != noRetry {
+			retryAfter = max(retryAfter, notReadyRetryAfter/10)
+		}
+		online.server.reject(online.writer, online.call, http.StatusServiceUnavailable, retryAfter, "not run: "+reason, decisionFields...)
 	}
 }
 
--- a/io/process/node/node.go
+++ b/io/process/node/node.go
@@ -67,6 +67,8 @@
 	directory directory
 	// quarantine holds the requests under which engines ended.
 	quarantine quarantine
+	// streams holds which builds of the engines began streams that callers may resume.
+	streams streams
 
 	tickDelay      atomic.Int64  // nanoseconds by which the last tick was late
 	leaseRenewedAt atomic.Int64  // Unix nanoseconds of the last renewal
@@ -110,6 +112,7 @@
 	node.reregister = make(chan struct{}, 1)
 	node.directory.init(node)
 	node.quarantine.init(node)
+	node.streams.init(node)
 	node.setGauges()
 	return nil
 }
@@ -140,6 +143,10 @@
 		node.quarantine.runSharing(ctx)
 		return nil
 	})
+	group.Go(func() error {
+		node.streams.run(ctx)
+		return nil
+	})
 	group.Go(func() error {
 		node.quarantine.runSaving(ctx)
 		return nil
--- a/io/process/node/placement.go
+++ b/io/process/node/placement.go
@@ -25,6 +25,7 @@
 
 // setEngines replaces the engines that work is placed on.
 func (node *Node) setEngines(engines []fleet.Engine) {
+	node.streams.observe(time.Now(), engines)
 	node.placementMutex.Lock()
 	defer node.placementMutex.Unlock()
 	node.pool.SetEngines(engines)
--- /dev/null
+++ b/io/process/node/streams.go
@@ -0,0 +1,300 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cowslipway/core/coordination/resumption"
+	"cowslipway/core/state/fleet"
+	"cowslipway/io/process/telemetry"
+)
+
+const (
+	// streamsCall starts a call between members about the streams that they serve.
+	streamsCall = "streams\n"
+	maxStreams  = 16384 // records that are kept in memory, of about 200 bytes each
+	// streamHolders is how many other members are informed of a stream: one may be lost together with the process that serves it.
+	streamHolders = 2
+	// streamAsked is how many members are asked which build began a stream. It exceeds streamHolders, since members that start or end
+	// change the order of the holders.
+	streamAsked = 8
+	// shortAsk and longAsk bound the wait for the answers of members: shortAsk where the history of the engines tells the build anyway.
+	shortAsk = 30 * time.Millisecond
+	longAsk  = 150 * time.Millisecond
+	// rebuildWait bounds the wait until the holders know that a stream begins at another build than they were informed of.
+	rebuildWait = 50 * time.Millisecond
+	// viewLag is the age up to which a view of the store tells which builds the engines have.
+	viewLag = 2 * time.Second
+	// streamMargin is how long a stream may be taken up after the longest time that its request may take.
+	streamMargin = 3 * time.Second
+	// defaultStreamLifetime applies to routes without a timeout.
+	defaultStreamLifetime = time.Minute
+	informTimeout         = time.Second // of a message about streams
+)
+
+// streams keeps which builds of the engines began the streams of this process and of others.
+type streams struct {
+	node *Node
+
+	mutex    sync.Mutex
+	registry resumption.Registry
+	history  resumption.History
+	pending  map[string][]resumption.Stream // to be sent, by the ID of the member
+	wake     chan struct{}                  // there is something to send
+}
+
+// streamMessage is a request or a response of a call about streams.
+type streamMessage struct {
+	Begun    []begunStream `json:"begun,omitempty"`
+	Find     string        `json:"find,omitempty"`      // ID of the request that began the stream to be found
+	Service  string        `json:"service,omitempty"`   // of that stream, for Sole
+	WindowMS int64         `json:"window_ms,omitempty"` // largest age of that stream
+	Sole     string        `json:"sole,omitempty"`      // the only version that the service had within the window
+	HasSole  bool          `json:"has_sole,omitempty"`  // Sole is set
+}
+
+// begunStream is a resumption.Stream in a message.
+type begunStream struct {
+	RequestID   string      `json:"request"`
+	Build       fleet.Build `json:"build"`
+	Attempt     int         `json:"attempt"`
+	RemainingMS int64       `json:"remaining_ms"` // time until the stream cannot be resumed any longer
+}
+
+// encodeStream returns the form of a stream in a message.
+func encodeStream(now time.Time, stream resumption.Stream) begunStream {
+	return begunStream{RequestID: stream.RequestID, Build: stream.Build, Attempt: stream.Attempt, RemainingMS: stream.Until.Sub(now).Milliseconds()}
+}
+
+// decode returns the stream that a message tells of.
+func (begun begunStream) decode(now time.Time) resumption.Stream {
+	return resumption.Stream{RequestID: begun.RequestID, Build: begun.Build, Attempt: begun.Attempt, Until: now.Add(time.Duration(begun.RemainingMS) * time.Millisecond)}
+}
+
+// init sets up an empty record.
+func (streams *streams) init(node *Node) {
+	streams.node = node
+	streams.registry.MaxStreams = maxStreams
+	streams.pending = map[string][]resumption.Stream{}
+	streams.wake = make(chan struct{}, 1)
+}
+
+// StreamWindow returns how long after its beginning a stream may be taken up, on a route whose requests may take timeout.
+func StreamWindow(timeout time.Duration) (window time.Duration) {
+	if timeout <= 0 {
+		timeout = defaultStreamLifetime
+	}
+	return timeout + streamMargin
+}
+
+// observe records the engines that are listed. Where a service has several builds from now on, the holders of its streams are informed
+// of those that began before.
+func (streams *streams) observe(now time.Time, engines []fleet.Engine) {
+	streams.mutex.Lock()
+	defer streams.mutex.Unlock()
+	for _, service := range streams.history.Observe(now, engines) {
+		begun := streams.registry.Local(now, service)
+		streams.node.Log.Info("several software versions serve", zap.String("service", service), zap.Int("streams", len(begun)))
+		for _, stream := range begun {
+			streams.informHolders(stream)
+		}
+	}
+}
+
+// informHolders queues a stream for the members that keep its record. The mutex must be held.
+func (streams *streams) informHolders(stream resumption.Stream) (holders []string) {
+	self := streams.node.self.ID()
+	for _, holder := range resumption.Holders(stream.RequestID, streams.node.directory.allMembers(), streamHolders+1) {
+		if holder != self && len(holders) < streamHolders {
+			streams.pending[holder] = append(streams.pending[holder], stream)
+			holders = append(holders, holder)
+		}
+	}
+	select {
+	case streams.wake <- struct{}{}:
+	default: // already requested
+	}
+	return holders
+}
+
+// RecordStream records that the response to a request is about to be streamed by an engine of a build, so that the stream can be
+// resumed at the same build, here or at another member. Before an attempt at another build than that of the last one it waits until
+// the holders of the record know.
+func (node *Node) RecordStream(ctx context.Context, requestID string, build fleet.Build, attempt int, window time.Duration) {
+	streams, now := &node.streams, time.Now()
+	stream := resumption.Stream{RequestID: requestID, Build: build, Attempt: attempt, Until: now.Add(window), Local: true}
+	streams.mutex.Lock()
+	replaced := streams.registry.Put(stream)
+	if replaced.RequestID != "" && replaced.Build != build {
+		holders := streams.informHolders(stream)
+		streams.mutex.Unlock()
+		ctx, cancel := context.WithTimeout(ctx, rebuildWait)
+		defer cancel()
+		streams.ask(ctx, holders, streamMessage{Begun: []begunStream{encodeStream(now, stream)}}, func(string, streamMessage) bool { return false })
+		return
+	}
+	if _, sole := streams.history.Sole(now, build.Service, window); !sole {
+		streams.informHolders(stream)
+	}
+	streams.mutex.Unlock()
+}
+
+// run informs members of streams until ctx ends.
+func (streams *streams) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-streams.wake:
+		}
+		streams.mutex.Lock()
+		pending := streams.pending
+		streams.pending = map[string][]resumption.Stream{}
+		streams.mutex.Unlock()
+		now := time.Now()
+		for holder, begun := range pending {
+			message := streamMessage{}
+			for _, stream := range begun {
+				message.Begun = append(message.Begun, encodeStream(now, stream))
+			}
+			go func() { // a member that does not answer delays no other
+				ctx, cancel := context.WithTimeout(ctx, informTimeout)
+				defer cancel()
+				if _, err := streams.call(ctx, holder, message); err != nil {
+					streams.node.Log.Info("member not informed of streams", zap.String("member", holder), zap.Int("streams", len(begun)), telemetry.Err(err))
+				}
+			}()
+		}
+	}
+}
+
+// call makes one call about streams to a member.
+func (streams *streams) call(ctx context.Context, memberID string, message streamMessage) (response streamMessage, err error) {
+	request, err := json.Marshal(message)
+	if err != nil {
+		return response, err
+	}
+	data, err := streams.node.mesh.CallMember(ctx, memberID, append([]byte(streamsCall), request...))
+	if err != nil {
+		return response, err
+	}
+	return response, json.Unmarshal(bytes.TrimPrefix(data, []byte(streamsCall)), &response)
+}
+
+// ask makes the same call to several members at once and passes the responses to handle, until that returns true, all members have
+// responded or ctx ends. It returns the number of members that did not respond.
+func (streams *streams) ask(ctx context.Context, memberIDs []string, message streamMessage, handle func(memberID string, response streamMessage) (done bool)) (silent int) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type answer struct {
+		memberID string
+		response streamMessage
+		err      error
+	}
+	answers := make(chan answer, len(memberIDs))
+	for _, memberID := range memberIDs {
+		go func() {
+			response, err := streams.call(ctx, memberID, message)
+			answers <- answer{memberID: memberID, response: response, err: err}
+		}()
+	}
+	for range memberIDs {
+		answer := <-answers // the calls end with ctx
+		if answer.err != nil {
+			silent++
+		} else if handle(answer.memberID, answer.response) {
+			break
+		}
+	}
+	return silent
+}
+
+// serve handles a call of a peer about streams.
+func (streams *streams) serve(data []byte) (response []byte) {
+	var message, answer streamMessage
+	if err := json.Unmarshal(data, &message); err != nil {
+		streams.node.Log.Warn("streams of a member could not be read", telemetry.Err(err))
+	}
+	now := time.Now()
+	streams.mutex.Lock()
+	for _, begun := range message.Begun {
+		streams.registry.Put(begun.decode(now))
+	}
+	if message.Find != "" {
+		if stream, ok := streams.registry.Find(now, message.Find); ok {
+			answer.Begun = append(answer.Begun, encodeStream(now, stream))
+		}
+		answer.Sole, answer.HasSole = streams.sole(now, message.Service, time.Duration(message.WindowMS)*time.Millisecond)
+	}
+	streams.mutex.Unlock()
+	response, _ = json.Marshal(answer) // strings and numbers only
+	return append([]byte(streamsCall), response...)
+}
+
+// sole returns the only version that a service has had within a window, as far as the view of the store is current. The mutex must be
+// held.
+func (streams *streams) sole(now time.Time, service string, window time.Duration) (version string, ok bool) {
+	if streams.node.ViewAge() > viewLag {
+		return "", false
+	}
+	return streams.history.Sole(now, service, window)
+}
+
+// FoundStream tells which build began a stream.
+type FoundStream struct {
+	Build  fleet.Build
+	Source string // member that knew, "view" if it follows from the engines of the last time, or empty if it is not known
+	Asked  int    // other members that were asked
+	Silent int    // those of them that did not respond in time
+}
+
+// FindStream finds out which build began the stream of a request. service is that of the stream as far as is known, and window is
+// the largest age of the stream.
+func (node *Node) FindStream(ctx context.Context, requestID, service string, window time.Duration) (found FoundStream, ok bool) {
+	streams, now := &node.streams, time.Now()
+	streams.mutex.Lock()
+	known, ok := streams.registry.Find(now, requestID)
+	sole, hasSole := streams.sole(now, service, window)
+	streams.mutex.Unlock()
+	if ok {
+		return FoundStream{Build: known.Build, Source: node.self.Name}, true
+	}
+	limit := longAsk
+	if hasSole {
+		limit = shortAsk
+		found = FoundStream{Build: fleet.Build{Service: service, Version: sole}, Source: "view"}
+	}
+	var asked []string
+	for _, holder := range resumption.Holders(requestID, node.directory.allMembers(), streamAsked+1) {
+		if holder != node.self.ID() && len(asked) < streamAsked && requestID != "" {
+			asked = append(asked, holder)
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	message := streamMessage{Find: requestID, Service: service, WindowMS: window.Milliseconds()}
+	found.Asked = len(asked)
+	found.Silent = streams.ask(ctx, asked, message, func(memberID string, response streamMessage) (done bool) {
+		if len(response.Begun) > 0 {
+			found.Build, found.Source = response.Begun[0].Build, memberID
+			return true
+		}
+		if found.Source == "" && response.HasSole {
+			found.Build, found.Source = fleet.Build{Service: service, Version: response.Sole}, memberID
+		}
+		return false
+	})
+	return found, found.Source != ""
+}
+
+// Serves reports whether an engine of a build takes requests.
+func (node *Node) Serves(build fleet.Build) bool {
+	node.placementMutex.Lock()
+	defer node.placementMutex.Unlock()
+	return node.pool.Serves(build)
+}
--- a/io/process/node/suspicion_sharing.go
+++ b/io/process/node/suspicion_sharing.go
@@ -29,8 +29,11 @@
 	trials []trial // only read from the store
 }
 
-// serveCall serves a call of a peer: it merges suspicions, and passes on calls to the store.
+// serveCall serves a call of a peer: it merges suspicions, keeps and finds streams, and passes on calls to the store.
 func (node *Node) serveCall(ctx context.Context, request []byte) (response []byte) {
+	if data, ok := bytes.CutPrefix(request, []byte(streamsCall)); ok {
+		return node.streams.serve(data)
+	}
 	data, ok := bytes.CutPrefix(request, []byte(suspicionCall))
 	if !ok {
 		return node.relay.Serve(ctx, request)
--- a/io/process/telemetry/metrics.go
+++ b/io/process/telemetry/metrics.go
@@ -41,6 +41,7 @@
 	ItemTime        = newHistograms("item_seconds", "verdict", "duration of a run of a batch item")
 	EngineChecks    = newCounters("engine_checks", "result", "checks whether an engine that broke off a response has ended")
 	Quarantines     = newCounters("quarantines", "change", "changes of quarantines of requests under which engines ended, as this process has seen or been told")
+	Resumptions     = newCounters("resumptions", "outcome", "streams that callers took up again, by whether the software version that began them is known and serves")
 	StoreCalls      = newCounters("store_calls", "call and outcome", "calls to the store, including those relayed through a peer")
 	StoreTime       = newHistograms("store_seconds", "call", "duration of a call to the store; that of a watch includes the wait for changes")
 	LogLines        = newCounters("log_lines", "event", "log lines by event; each decision writes one line")
