worker: an item's text is of one software version

An item goes on at that build; it starts from the beginning if the build has no engine left, if its service is another one by now, if an older process saved the progress without a build, or if it could not go on for 3 s while another engine has a slot. An item that waits for its build does not hold up the items behind it.

--- a/core/coordination/jobrunner/runner.go
+++ b/core/coordination/jobrunner/runner.go
@@ -12,6 +12,7 @@
 	retryDelay           = 50 * time.Millisecond  // a full engine is likely to have a free slot after that time
 	baseInterruptedDelay = 200 * time.Millisecond // first retry delay of an item whose run was interrupted without a new event
 	maxInterruptedDelay  = 5 * time.Second        // a crashed engine is back after some seconds
+	buildDelay           = 100 * time.Millisecond // until an item is tried again whose build has no free slot
 	maxCommitChunks      = 10                     // each takes 3 of the 32 conditions and writes that a transaction may have
 	maxCommitBytes       = 900 << 10              // total size of the result texts in one transaction
 )
@@ -22,6 +23,7 @@
 	Item     jobrecord.Item
 	Progress jobrecord.Progress // from the item's earlier runs; the run resumes after its last event
 	Excluded []uint64           // digests of engines at which the item failed
+	Stalled  time.Duration      // time for which the item could not go on after that event
 }
 
 // Outcome is how a run ended.
@@ -52,6 +54,7 @@
 	errorResponses int       // runs that ended as Errored
 	interruptions  int       // consecutive runs that ended as Interrupted without a new event
 	notBefore      time.Time // earliest start of the next run
+	stalledSince   time.Time // since when the item has had no new event although it has begun; zero if it has not begun, or goes on
 }
 
 // job is a job that the process owns.
@@ -145,7 +148,11 @@
 		return run, false
 	}
 	chosen.running = true
-	return ItemRun{Job: chosenJob.Job, Item: chosen.Item, Progress: chosen.progress}, true
+	run = ItemRun{Job: chosenJob.Job, Item: chosen.Item, Progress: chosen.progress}
+	if !chosen.stalledSince.IsZero() {
+		run.Stalled = now.Sub(chosen.stalledSince)
+	}
+	return run, true
 }
 
 // runsBefore reports whether item of job is to run before otherItem of otherJob.
@@ -190,6 +197,31 @@
 	return false
 }
 
+// AwaitBuild makes an item that Next returned available again after a while, because no engine of the build of its progress could take
+// it.
+func (runner *Runner) AwaitBuild(now time.Time, run ItemRun) {
+	if item := runner.findItem(run); item != nil {
+		item.running, item.notBefore = false, now.Add(buildDelay)
+		item.stall(now)
+	}
+}
+
+// stall records that an item could not go on.
+func (item *item) stall(now time.Time) {
+	if item.progress.LastEventID != "" && item.stalledSince.IsZero() {
+		item.stalledSince = now
+	}
+}
+
+// Restart discards the progress of an item that Next returned, and returns its run from the start.
+func (runner *Runner) Restart(run ItemRun) (restarted ItemRun) {
+	if item := runner.findItem(run); item != nil {
+		item.progress, item.stalledSince = jobrecord.Progress{}, time.Time{}
+	}
+	run.Progress = jobrecord.Progress{}
+	return run
+}
+
 // findItem returns the item of a run, or nil if the runner does not hold the run's job.
 func (runner *Runner) findItem(run ItemRun) *item {
 	job, ok := runner.jobs[run.Job.ID]
@@ -214,6 +246,11 @@
 	job := runner.jobs[run.Job.ID]
 	progressed := len(progress.Data) > len(item.progress.Data)
 	item.running, item.progress = false, progress
+	if progressed {
+		item.stalledSince = time.Time{}
+	} else if outcome == NotExecuted || outcome == Interrupted {
+		item.stall(now)
+	}
 	switch outcome {
 	case Finished:
 		job.addResult(item, jobrecord.Result{ID: item.ID, State: jobrecord.Completed, Text: joinLines(progress.Data)})
--- a/core/state/jobrecord/checkpoint.go
+++ b/core/state/jobrecord/checkpoint.go
@@ -7,12 +7,15 @@
 	"strings"
 
 	"github.com/juju/errors"
+
+	"cowslipway/core/state/fleet"
 )
 
 // Progress holds the events that an unfinished item has produced so far. The next run of the item resumes after them.
 type Progress struct {
-	LastEventID string   `json:"last_event,omitempty"` // ID of the last event
-	Data        []string `json:"data,omitempty"`       // data of each event
+	LastEventID string      `json:"last_event,omitempty"` // ID of the last event
+	Data        []string    `json:"data,omitempty"`       // data of each event
+	Build       fleet.Build `json:"build,omitzero"`       // of the engines that sent the events; zero if an older process saved them
 }
 
 // Checkpoint adds events to the progress of an item. Checkpoints are appended to a file on the disk, whose last writes may be
@@ -23,6 +26,8 @@
 	Offset      int      `json:"from"`       // number of events in earlier checkpoints; 0 starts the item over
 	LastEventID string   `json:"last_event"` // ID of the last event
 	Data        []string `json:"data"`       // data of each event
+
+	Build fleet.Build `json:"build,omitzero"` // of the engines that sent the events; zero if an older process saved them
 }
 
 // EncodeCheckpoint returns checkpoint as a line of text that starts with a CRC-32 checksum.
@@ -72,9 +77,9 @@
 	if checkpoint.Offset == 0 {
 		previous = Progress{} // the item started over
 	}
-	if checkpoint.Offset != len(previous.Data) {
+	if checkpoint.Offset != len(previous.Data) || checkpoint.Offset > 0 && checkpoint.Build != previous.Build {
 		return false
 	}
-	items[checkpoint.Item] = Progress{LastEventID: checkpoint.LastEventID, Data: append(previous.Data[:checkpoint.Offset:checkpoint.Offset], checkpoint.Data...)}
+	items[checkpoint.Item] = Progress{LastEventID: checkpoint.LastEventID, Data: append(previous.Data[:checkpoint.Offset:checkpoint.Offset], checkpoint.Data...), Build: checkpoint.Build}
 	return true
 }
--- a/core/state/jobrecord/checkpoint_test.go
+++ b/core/state/jobrecord/checkpoint_test.go
@@ -31,7 +31,7 @@
 		Checkpoint{Job: "j", Item: "b", Offset: 0, LastEventID: "1", Data: []string{"again"}},
 	)
 	progress, skipped := DecodeCheckpoints(text)
-	if got := fmt.Sprint(progress); got != "map[j:map[a:{3 [x y z]} b:{1 [again]}]]" || skipped != 1 {
+	if got := fmt.Sprint(progress); got != "map[j:map[a:{3 [x y z] { }} b:{1 [again] { }}]]" || skipped != 1 {
 		t.Errorf("got progress %s, %d lines skipped", got, skipped)
 	}
 }
--- a/io/process/telemetry/events.go
+++ b/io/process/telemetry/events.go
@@ -84,6 +84,7 @@
 	{"job not swept yet", "job error", "deleting the records of an expired job failed; it is retried"},
 	{"suspicions not swept yet", "records error", "removing records of engine ends that no longer count failed; it is retried"},
 	{"item run", "job request engine verdict events took cause fingerprint", "one run of a batch item ended; fingerprint identifies the item by its content and is set if the run was interrupted"},
+	{"item starts anew", "job request events service software reason", "the events that an item has so far are discarded, since its output cannot go on at the software version that began it"},
 	{"item withheld", "job request fingerprint ends until abandoned", "engines ended under the item; it does not run until then, or is given up if abandoned is set"},
 	{"trial claimed", "request fingerprint ends error", "this process tried to claim the run of a quarantined request or item that is due after so many engine ends; error is set if that failed, for example because another process runs it"},
 	{"item given up: it has no route", "job request configuration", "no route matches the item; its result is an error"},
--- a/io/process/worker/item.go
+++ b/io/process/worker/item.go
@@ -25,7 +25,7 @@
 // runItem runs an item at engine from its last event on, until it ends or parent is cancelled. It returns the item's
 // progress over all its runs, and the cause of a run that did not finish the item.
 func (worker *Worker) runItem(parent context.Context, itemRun jobrunner.ItemRun, engine fleet.Engine) (outcome jobrunner.Outcome, progress jobrecord.Progress, cause error) {
-	progress = jobrecord.Progress{LastEventID: itemRun.Progress.LastEventID, Data: slices.Clone(itemRun.Progress.Data)}
+	progress = jobrecord.Progress{LastEventID: itemRun.Progress.LastEventID, Data: slices.Clone(itemRun.Progress.Data), Build: engine.Build()}
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
 	idleTimer := time.AfterFunc(idleTimeout, cancel)
@@ -96,7 +96,7 @@
 // then saved.
 func (worker *Worker) saveProgress(itemRun jobrunner.ItemRun, progress jobrecord.Progress, saved int) int {
 	if len(progress.Data) > saved {
-		worker.checkpoints.add(jobrecord.Checkpoint{Job: itemRun.Job.ID, Item: itemRun.Item.ID, Offset: saved, LastEventID: progress.LastEventID, Data: progress.Data[saved:len(progress.Data):len(progress.Data)]})
+		worker.checkpoints.add(jobrecord.Checkpoint{Job: itemRun.Job.ID, Item: itemRun.Item.ID, Offset: saved, LastEventID: progress.LastEventID, Data: progress.Data[saved:len(progress.Data):len(progress.Data)], Build: progress.Build})
 	}
 	return len(progress.Data)
 }
--- a/io/process/worker/worker.go
+++ b/io/process/worker/worker.go
@@ -33,6 +33,8 @@
 	// that is shorter.
 	shutdownMargin  = 1500 * time.Millisecond
 	handOverTimeout = 3 * time.Second
+	// buildPatience is how long an item that cannot go on at the build that began its output waits, before it starts anew elsewhere.
+	buildPatience   = 3 * time.Second
 	maxRunningItems = 512 // bounds the memory and file descriptors of the process
 )
 
@@ -286,7 +288,23 @@
 		if worker.withhold(ctx, now, itemRun) {
 			continue
 		}
-		engine, ok := worker.Node.AcquireBatch(placement.Request{Service: route.SelectService(itemRun.Item.ID), Domain: worker.Node.Settings.FailureDomain})
+		request := placement.Request{Service: route.SelectService(itemRun.Item.ID), Domain: worker.Node.Settings.FailureDomain}
+		if itemRun.Progress.LastEventID != "" {
+			itemRun, request.Version = worker.resumeAt(itemRun, request.Service)
+		}
+		stalled := request.Version != "" && itemRun.Stalled >= buildPatience
+		if stalled {
+			request.Version = ""
+		}
+		engine, ok := worker.Node.AcquireBatch(request)
+		if !ok && request.Version != "" {
+			worker.runner.AwaitBuild(now, itemRun)
+			backlog = true
+			continue // other items may go to engines of other versions
+		}
+		if ok && stalled && engine.Build() != itemRun.Progress.Build {
+			itemRun = worker.restartItem(itemRun, "it could not go on at the software version that began it")
+		}
 		if !ok {
 			worker.runner.Requeue(itemRun)
 			backlog = true
@@ -297,6 +315,26 @@
 	worker.Node.SetBatchBacklog(backlog)
 }
 
+// resumeAt returns the software version at which the output of an item may go on. If there is none, the item starts from the beginning,
+// at any version.
+func (worker *Worker) resumeAt(itemRun jobrunner.ItemRun, service string) (run jobrunner.ItemRun, version string) {
+	build := itemRun.Progress.Build
+	switch {
+	case build.Service != service: // also progress that an older process saved without a build
+		return worker.restartItem(itemRun, "its service is another one, or not known"), ""
+	case !worker.Node.Serves(build):
+		return worker.restartItem(itemRun, "no engine has the software version that began it"), ""
+	}
+	return itemRun, build.Version
+}
+
+// restartItem discards the progress of an item.
+func (worker *Worker) restartItem(itemRun jobrunner.ItemRun, reason string) (run jobrunner.ItemRun) {
+	worker.Log.Info("item starts anew", zap.String("job", itemRun.Job.ID), zap.String("request", itemRun.Item.ID), zap.Int("events", len(itemRun.Progress.Data)),
+		zap.String("service", itemRun.Progress.Build.Service), zap.String("software", itemRun.Progress.Build.Version), zap.String("reason", reason))
+	return worker.runner.Restart(itemRun)
+}
+
 // startItem runs an item at engine in a new goroutine.
 func (worker *Worker) startItem(ctx context.Context, itemRun jobrunner.ItemRun, engine fleet.Engine) {
 	ctx, cancel := context.WithCancel(ctx)
