node: members tell which version served, also for a stream that its caller does not name

Cause: an ingress asked no other member if the caller named no request, and a member asked about no request did not tell its only version.

Why this works: a process that has just started cannot know which versions served before, others can; they are asked in any case.

--- a/io/process/ingress/online.go
+++ b/io/process/ingress/online.go
@@ -184,7 +184,8 @@
 	if begunBy != "" {
 		online.service = online.route.SelectService(begunBy) // as for the request that began the stream
 	}
-	found, known := online.server.Node.FindStream(online.request.Context(), begunBy, online.service, node.StreamWindow(online.route.Timeout))
+	window := node.StreamWindow(online.route.Timeout)
+	found, known := online.server.Node.FindStream(online.request.Context(), begunBy, online.service, window)
 	retryAfter, reason, outcome := noRetry, "", "found"
 	switch {
 	case !known:
@@ -200,7 +201,7 @@
 	telemetry.Resumptions.Add(outcome, 1)
 	online.server.Log.Info("resumption", zap.String("request", online.call.RequestID), zap.String("begun_by", begunBy), zap.String("last_event", online.call.LastEventID),
 		zap.String("service", found.Build.Service), zap.String("software", found.Build.Version), zap.String("source", found.Source), zap.Int("asked", found.Asked),
-		zap.Int("silent", found.Silent), zap.Duration("took", time.Since(started)), zap.Duration("view_age", online.server.Node.ViewAge()), zap.String("outcome", outcome))
+		zap.Int("silent", found.Silent), zap.Duration("window", window), zap.Duration("took", time.Since(started)), zap.Duration("view_age", online.server.Node.ViewAge()), zap.String("outcome", outcome))
 	if reason != "" {
 		online.server.reject(online.writer, online.call, http.StatusServiceUnavailable, retryAfter, "not run: "+reason)
 		return false
--- a/io/process/node/streams.go
+++ b/io/process/node/streams.go
@@ -51,8 +51,8 @@
 // streamMessage is a request or a response of a call about streams.
 type streamMessage struct {
 	Begun    []begunStream `json:"begun,omitempty"`
-	Find     string        `json:"find,omitempty"`      // ID of the request that began the stream to be found
-	Service  string        `json:"service,omitempty"`   // of that stream, for Sole
+	Find     string        `json:"find,omitempty"`      // ID of the request that began the stream to be found; empty if it is not known
+	Service  string        `json:"service,omitempty"`   // of the stream to be found
 	WindowMS int64         `json:"window_ms,omitempty"` // largest age of that stream
 	Sole     string        `json:"sole,omitempty"`      // the only version that the service had within the window
 	HasSole  bool          `json:"has_sole,omitempty"`  // Sole is set
@@ -183,7 +183,8 @@
 	if err != nil {
 		return response, err
 	}
-	return response, json.Unmarshal(bytes.TrimPrefix(data, []byte(streamsCall)), &response)
+	err = json.Unmarshal(bytes.TrimPrefix(data, []byte(streamsCall)), &response)
+	return response, err
 }
 
 // ask makes the same call to several members at once and passes the responses to handle, until that returns true, all members have
@@ -225,7 +226,7 @@
 	for _, begun := range message.Begun {
 		streams.registry.Put(begun.decode(now))
 	}
-	if message.Find != "" {
+	if message.Service != "" { // it asks for a stream
 		if stream, ok := streams.registry.Find(now, message.Find); ok {
 			answer.Begun = append(answer.Begun, encodeStream(now, stream))
 		}
@@ -253,8 +254,8 @@
 	Silent int    // those of them that did not respond in time
 }
 
-// FindStream finds out which build began the stream of a request. service is that of the stream as far as is known, and window is
-// the largest age of the stream.
+// FindStream finds out which build began the stream of a request, whose ID is empty if the caller has not named it. service is that of
+// the stream as far as is known, and window is the largest age of the stream.
 func (node *Node) FindStream(ctx context.Context, requestID, service string, window time.Duration) (found FoundStream, ok bool) {
 	streams, now := &node.streams, time.Now()
 	streams.mutex.Lock()
@@ -271,7 +272,7 @@
 	}
 	var asked []string
 	for _, holder := range resumption.Holders(requestID, node.directory.allMembers(), streamAsked+1) {
-		if holder != node.self.ID() && len(asked) < streamAsked && requestID != "" {
+		if holder != node.self.ID() && len(asked) < streamAsked {
 			asked = append(asked, holder)
 		}
 	}
