upstream: bytes without end from an engine end the attempt

Cause: the size of a response's head was not bounded; an event was, at 4 MB, but not events that carry nothing; and each comment extended the time that a run of an item may be idle.

Why this works: the heads of a response may have 64 kB together, an event 1 MB, and so may events without ID and data in a row. An item's run ends after 20 s without output, or with more than 8 MB of it. The attempt then fails as after any broken response: a request that may be repeated goes on at another engine. The product's own processes bound heads at 64 kB too, where the library's default was 10 MB.

--- a/io/process/worker/item.go
+++ b/io/process/worker/item.go
@@ -22,6 +22,13 @@
 // other requests still sends one within one to two seconds.
 const idleTimeout = 2500 * time.Millisecond
 
+const (
+	// outputTimeout ends a run whose engine sends comments only.
+	outputTimeout = 20 * time.Second
+	// maxOutputBytes bounds the output of an item; the longest that an engine's memory has room for is smaller.
+	maxOutputBytes = 8 << 20
+)
+
 // runItem runs an item at engine from its last event on, until it ends or parent is cancelled. It returns the item's
 // progress over all its runs, and the cause of a run that did not finish the item.
 func (worker *Worker) runItem(parent context.Context, itemRun jobrunner.ItemRun, engine fleet.Engine) (outcome jobrunner.Outcome, progress jobrecord.Progress, cause error) {
@@ -104,6 +111,10 @@
 // readEvents appends the events of a response to progress until the response ends, and returns the extended progress.
 func (worker *Worker) readEvents(exchange *upstream.Exchange, idleTimer *time.Timer, itemRun jobrunner.ItemRun, progress jobrecord.Progress) (outcome jobrunner.Outcome, extended jobrecord.Progress, cause error) {
 	events := upstream.NewEventReader(exchange.Response.Body)
+	outputAt, size := time.Now(), 0
+	for _, data := range progress.Data {
+		size += len(data)
+	}
 	saved, savedAt := 0, time.Now() // the first checkpoint of a run holds all events, so that files rotated away are not needed
 	for {
 		event, err := events.Next()
@@ -117,13 +128,21 @@
 		}
 		idleTimer.Reset(idleTimeout)
 		if event.ID == "" {
+			if time.Since(outputAt) > outputTimeout {
+				return jobrunner.Interrupted, progress, errors.Errorf("no output for %s", outputTimeout)
+			}
 			continue // the engine sends comments, which have no ID, to keep the connection open
 		}
 		if !upstream.Follows(progress.LastEventID, event.ID) {
 			return jobrunner.Interrupted, progress, errors.Errorf("event %q after event %q", event.ID, progress.LastEventID)
 		}
+		data := event.Data()
+		if size += len(data); size > maxOutputBytes {
+			return jobrunner.Interrupted, itemRun.Progress, errors.Errorf("the output exceeds %d bytes", maxOutputBytes)
+		}
+		outputAt = time.Now()
 		progress.LastEventID = event.ID
-		progress.Data = append(progress.Data, event.Data())
+		progress.Data = append(progress.Data, data)
 		if time.Since(savedAt) >= checkpointInterval {
 			saved, savedAt = worker.saveProgress(itemRun, progress, saved), time.Now()
 		}
--- a/io/protocol/engine/client.go
+++ b/io/protocol/engine/client.go
@@ -22,6 +22,7 @@
 	dialTimeout        = time.Second
 	maxIdleConnections = 1024
 	maxMetricsBytes    = 4 << 20
+	maxHeadBytes       = 64 << 10 // of a response
 	runningMetric      = "vllm:num_requests_running"
 	waitingMetric      = "vllm:num_requests_waiting"
 	lastEventIDHeader  = "Last-Event-ID"
@@ -50,7 +51,9 @@
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
 	}
 	return &Client{Address: address, HTTP: &http.Client{Transport: transport}}
 }
--- a/io/transport/upstream/events.go
+++ b/io/transport/upstream/events.go
@@ -10,8 +10,9 @@
 	"github.com/juju/errors"
 )
 
-// maxEventBytes limits the size of an event. Events of language models have a few hundred bytes.
-const maxEventBytes = 4 << 20
+// maxEventBytes limits the size of an event, and of a sequence of events without ID and data, such as comments that keep a connection
+// open. Events of language models have a few hundred bytes.
+const maxEventBytes = 1 << 20
 
 // Event is a complete server-sent event.
 type Event struct {
@@ -35,6 +36,7 @@
 type EventReader struct {
 	reader *bufio.Reader
 	raw    []byte
+	empty  int // bytes of events without ID and data since the last other event
 }
 
 // NewEventReader returns a reader of the events in body.
@@ -62,11 +64,24 @@
 			return Event{}, err
 		}
 		if blank {
-			return Event{Raw: reader.raw, ID: eventID(reader.raw)}, nil
+			return reader.complete()
 		}
 	}
 }
 
+// complete returns the event that has been read, unless there were too many events without ID and data.
+func (reader *EventReader) complete() (event Event, err error) {
+	event = Event{Raw: reader.raw, ID: eventID(reader.raw)}
+	if event.ID != "" || bytes.HasPrefix(event.Raw, []byte("data:")) || bytes.Contains(event.Raw, []byte("\ndata:")) {
+		reader.empty = 0
+		return event, nil
+	}
+	if reader.empty += len(event.Raw); reader.empty > maxEventBytes {
+		return Event{}, errors.Errorf("no ID and no data in %d bytes", reader.empty)
+	}
+	return event, nil
+}
+
 // eventID returns the value of the first id field in raw, or an empty string.
 func eventID(raw []byte) string {
 	for line := range bytes.SplitSeq(raw, []byte("\n")) {
--- a/io/transport/upstream/events_test.go
+++ b/io/transport/upstream/events_test.go
@@ -35,6 +35,37 @@
 	}
 }
 
+// TestEndlessEvents guards against reading bytes without end that are no events: one event that does not end, and events that have neither
+// an ID nor data.
+func TestEndlessEvents(t *testing.T) {
+	for name, text := range map[string]string{"one event": "x", "comments": ": comment\n\n", "unknown fields": "field: value\n\n", "blank lines": "\n"} {
+		source := &endlessReader{text: text}
+		events := NewEventReader(source)
+		var err error
+		for err == nil {
+			_, err = events.Next()
+		}
+		if source.read > 2*maxEventBytes {
+			t.Errorf("%s: %d bytes were read before %v", name, source.read, err)
+		}
+	}
+}
+
+// endlessReader repeats a text without end.
+type endlessReader struct {
+	text string
+	read int
+}
+
+// Read fills data with the text.
+func (reader *endlessReader) Read(data []byte) (n int, err error) {
+	for n+len(reader.text) <= len(data) {
+		n += copy(data[n:], reader.text)
+	}
+	reader.read += n
+	return n, nil
+}
+
 func TestFollows(t *testing.T) {
 	for _, test := range []struct {
 		last, next string
--- a/io/transport/upstream/pool.go
+++ b/io/transport/upstream/pool.go
@@ -35,6 +35,7 @@
 	idleMargin        = time.Second     // reuse of an idle connection ends this long before the engine would close it
 	maxIdlePerAddress = 32              // an engine runs fewer requests of one process at once
 	maxResponseHeads  = 4               // informational responses and the final one
+	maxHeadBytes      = 64 << 10        // read while the heads of a response are incomplete
 )
 
 // Pool sends requests to engines and reuses idle connections. It is safe for concurrent use.
@@ -61,15 +62,24 @@
 	return time.Time{}
 }
 
-// receiveTracker records the time when bytes are last received on a connection.
+// receiveTracker records the time when bytes are last received on a connection, and bounds how many are received while a head is
+// read.
 type receiveTracker struct {
 	net.Conn
 	lastReceived *atomic.Int64
+	readingHead  bool
+	headBytes    int // received while readingHead is set
 }
 
 // Read reads from the connection and records the time if it receives bytes.
-func (tracker receiveTracker) Read(data []byte) (n int, err error) {
+func (tracker *receiveTracker) Read(data []byte) (n int, err error) {
+	if tracker.readingHead && tracker.headBytes >= maxHeadBytes {
+		return 0, errors.Errorf("the head of the response exceeds %d bytes", maxHeadBytes)
+	}
 	n, err = tracker.Conn.Read(data)
+	if tracker.readingHead {
+		tracker.headBytes += n
+	}
 	if n > 0 {
 		tracker.lastReceived.Store(int64(time.Since(clockBase)))
 	}
@@ -80,6 +90,7 @@
 type connection struct {
 	net.Conn
 	reader    *bufio.Reader
+	tracker   *receiveTracker // source of reader
 	address   string
 	idleSince time.Time     // time at which it last became idle
 	idleLimit time.Duration // it is not reused after being idle for this long
@@ -198,8 +209,8 @@
 		return nil, err
 	}
 	last, _ := pool.lastReceived.LoadOrStore(address, &atomic.Int64{})
-	reader := bufio.NewReaderSize(receiveTracker{Conn: conn, lastReceived: last.(*atomic.Int64)}, readBufferBytes)
-	return &connection{Conn: conn, reader: reader, address: address}, nil
+	tracker := &receiveTracker{Conn: conn, lastReceived: last.(*atomic.Int64)}
+	return &connection{Conn: conn, reader: bufio.NewReaderSize(tracker, readBufferBytes), tracker: tracker, address: address}, nil
 }
 
 // Dial opens a new connection to the engine at address and keeps it for reuse. It fails if the engine does not accept one.
@@ -283,6 +294,9 @@
 // no content encoding.
 func (exchange *Exchange) readHead(request Request) (err error) {
 	sentRequest := &http.Request{Method: request.Method}
+	tracker := exchange.connection.tracker
+	tracker.readingHead, tracker.headBytes = true, 0
+	defer func() { tracker.readingHead = false }()
 	for range maxResponseHeads {
 		exchange.Response, err = http.ReadResponse(exchange.connection.reader, sentRequest) //nolint:bodyclose // Abort and Release end the exchange
 		if err != nil {
--- a/io/transport/upstream/pool_test.go
+++ b/io/transport/upstream/pool_test.go
@@ -27,7 +27,7 @@
 		_ = remote.Close()
 	}()
 	before := time.Now()
-	if _, err := (receiveTracker{Conn: local, lastReceived: received}).Read(make([]byte, 1)); err != nil {
+	if _, err := (&receiveTracker{Conn: local, lastReceived: received}).Read(make([]byte, 1)); err != nil {
 		t.Fatal(err)
 	}
 	last := pool.LastReceived("engine")
