poisonpill: an end does not count against requests beside its cause

Cause: each request at an engine that ended had the end counted against it, although the ledger knew that another one had ended many more.

Why this works: an end does not count against a request if another one was at the engine too and more engines have ended under that one, enough for a quarantine. The guilty request has the most ends of all and keeps them; of two that are always together both are refused, as before.

--- a/core/coordination/poisonpill/ledger.go
+++ b/core/coordination/poisonpill/ledger.go
@@ -146,14 +146,13 @@
 			reported++
 		}
 	}
-	return reported, len(distinctEnds(known.ends, now))
+	return reported, len(ledger.counting(fingerprint, now))
 }
 
 // Quarantine returns the quarantine of a request; ok reports whether it is quarantined.
 func (ledger *Ledger) Quarantine(now time.Time, fingerprint Fingerprint) (quarantine Quarantine, ok bool) {
 	ledger.init()
-	known, _ := ledger.requests.Peek(fingerprint)
-	quarantine.Ends = distinctEnds(known.ends, now)
+	quarantine.Ends = ledger.counting(fingerprint, now)
 	count := len(quarantine.Ends)
 	if count < quarantineEnds {
 		return Quarantine{}, false
@@ -176,6 +175,30 @@
 	return quarantine, true
 }
 
+// counting returns one end for each engine that ended under a request, without those that another request explains: one that was at
+// the engine too, and under which more engines have ended, enough for a quarantine.
+func (ledger *Ledger) counting(fingerprint Fingerprint, now time.Time) (ends []EngineEnd) {
+	known, _ := ledger.requests.Peek(fingerprint)
+	ends = distinctEnds(known.ends, now)
+	count := len(ends)
+	if count < quarantineEnds {
+		return ends // whatever explains them
+	}
+	for _, other := range ledger.requests.Keys() {
+		suspected, _ := ledger.requests.Peek(other)
+		if other == fingerprint || len(suspected.ends) <= count || len(distinctEnds(suspected.ends, now)) <= count {
+			continue
+		}
+		ends = slices.DeleteFunc(ends, func(end EngineEnd) bool { return slices.ContainsFunc(suspected.ends, end.coincides) })
+	}
+	return ends
+}
+
+// coincides reports whether end and other are of the same engine and of the same moment, as far as clocks tell.
+func (end EngineEnd) coincides(other EngineEnd) bool {
+	return end.engineID() == other.engineID() && end.Ended.Sub(other.Ended).Abs() < clockTolerance
+}
+
 // All returns all ends that still count, and forgets the requests without any.
 func (ledger *Ledger) All(now time.Time) (all []EngineEnd) {
 	ledger.init()
