placement: an engine that says in a response that it leaves gets no further work

Cause: the header was not read; only the store's record told that an engine leaves.

Why this works: the head of each response is read for it, to requests, items and refusals alike, and the incarnation that sent it is left out of placement from then on, also while it is not listed for a time. An engine that starts again is another incarnation.

--- a/core/coordination/placement/placement.go
+++ b/core/coordination/placement/placement.go
@@ -29,13 +29,20 @@
 	countsDelay = 150 * time.Millisecond
 	// batchCooldown is the time for which an engine gets no batch items after it was overloaded. Bursts of online requests
 	// last for some seconds, and an item preempted right after its start only costs a connection and prompt processing.
-	batchCooldown      = 700 * time.Millisecond
+	batchCooldown = 700 * time.Millisecond
+	// leavingLifetime is how long an engine that said that it leaves gets no work. An engine that leaves ends within seconds; one that
+	// starts again is another incarnation, unless it does not tell its start time.
+	leavingLifetime    = 5 * time.Minute
 	rateWindow         = time.Second           // time constant of the average release rate
 	initialReleaseRate = 20                    // slots per second, as two engines release; used before the first release
 	minRetryAfter      = 50 * time.Millisecond // a caller that retries earlier arrives before a slot is free
 	maxRetryAfter      = 1500 * time.Millisecond
 )
 
+// leavingMark turns the digest of an engine into that under which load counts say that the engine leaves. Processes that do not know it
+// ignore the counts of an engine that they do not list.
+const leavingMark = 0x6c656176696e6721
+
 // backlogDigest is the engine digest of the Counts value that marks a batch backlog among a process's load counts. No
 // engine has this digest.
 const backlogDigest = 0
@@ -91,6 +98,7 @@
 	peerBatch           int               // batch items of all peers, from their latest load counts
 	batchByPeer         map[string]int    // batch items of each peer that has any
 	peerEjections       int               // peers that have ejected the engine
+	peersSayLeaving     int               // peers to which the engine said that it leaves
 	consecutiveFailures int               // failures that this process saw since the engine's last success
 	ejectedUntil        time.Time         // end of the ejection by this process
 	overloadedAt        time.Time         // when the load last exceeded the slots
@@ -159,6 +167,7 @@
 	peerCounts       map[string][]Counts  // latest load counts by peer
 	backlogPeers     map[string]bool      // peers with a batch backlog
 	processHashes    map[string]uint64    // hashes of member IDs, for slotPriority
+	leaving          map[uint64]time.Time // when engines said that they leave, by digest; kept while the store does not list them
 	queue            []waiter             // waiting online requests, by deadline
 	lastTicket       int
 	releaseRate      float64   // online slots per second that this process released, averaged over rateWindow
@@ -186,7 +195,7 @@
 		pool.enginesByService[service] = append(pool.enginesByService[service], next[digest])
 	}
 	for _, engine := range next {
-		engine.peerOnline, engine.peerBatch, engine.peerEjections, engine.batchByPeer = 0, 0, 0, map[string]int{}
+		engine.peerOnline, engine.peerBatch, engine.peerEjections, engine.peersSayLeaving, engine.batchByPeer = 0, 0, 0, 0, map[string]int{}
 	}
 	for peer, counts := range pool.peerCounts {
 		pool.addCounts(peer, counts, 1)
@@ -215,6 +224,9 @@
 // addCounts adds a peer's load counts, multiplied by sign, to the load of the engines.
 func (pool *Pool) addCounts(peer string, counts []Counts, sign int) {
 	for _, count := range counts {
+		if engine, ok := pool.engines[count.Engine^leavingMark]; ok {
+			engine.peersSayLeaving += sign
+		}
 		engine, ok := pool.engines[count.Engine]
 		if !ok {
 			continue
@@ -246,6 +258,9 @@
 // LocalCounts returns the load counts of this process, to be sent to its peers, sorted by engine digest.
 func (pool *Pool) LocalCounts(now time.Time) (counts []Counts) {
 	for digest, engine := range pool.engines {
+		if pool.isLeaving(now, digest) {
+			counts = append(counts, Counts{Engine: digest ^ leavingMark})
+		}
 		isEjected := now.Before(engine.ejectedUntil)
 		if engine.localOnline > 0 || engine.localBatch > 0 || isEjected {
 			counts = append(counts, Counts{Engine: digest, Online: engine.localOnline, Batch: engine.localBatch, Ejected: isEjected})
@@ -263,7 +278,7 @@
 
 const (
 	healthy   health = iota
-	suspected        // ejected by at least suspectQuorum peers, but not by this process
+	suspected        // ejected by at least suspectQuorum peers, or leaving as a peer says, but not ejected by this process
 	ejected          // ejected by this process
 )
 
@@ -272,7 +287,7 @@
 	switch {
 	case now.Before(engine.ejectedUntil):
 		return ejected
-	case engine.peerEjections >= suspectQuorum:
+	case engine.peerEjections >= suspectQuorum, engine.peersSayLeaving > 0:
 		return suspected
 	}
 	return healthy
@@ -311,7 +326,7 @@
 	if request.Version != "" && candidate.SoftwareVersion != request.Version {
 		return false
 	}
-	return !candidate.Draining && candidate.health(now) == health && !slices.Contains(request.Excluded, candidate.digest)
+	return !candidate.Draining && !pool.isLeaving(now, candidate.digest) && candidate.health(now) == health && !slices.Contains(request.Excluded, candidate.digest)
 }
 
 // AcquireOnline places an online request: at an engine with a free slot, else at one where it preempts a batch item,
@@ -369,9 +384,9 @@
 }
 
 // Serves reports whether an engine of a build takes requests.
-func (pool *Pool) Serves(build fleet.Build) bool {
+func (pool *Pool) Serves(now time.Time, build fleet.Build) bool {
 	return slices.ContainsFunc(pool.enginesByService[build.Service], func(engine *engine) bool {
-		return engine.SoftwareVersion == build.Version && !engine.Draining
+		return engine.SoftwareVersion == build.Version && !engine.Draining && !pool.isLeaving(now, engine.digest)
 	})
 }
 
@@ -513,6 +528,27 @@
 	return time.Time{}
 }
 
+// RecordLeaving records that an engine has said that it leaves. It gets no work of this process from then on, also if it is listed as
+// ready. It reports whether that is new.
+func (pool *Pool) RecordLeaving(now time.Time, descriptor fleet.Engine) (news bool) {
+	digest := descriptor.Digest()
+	if pool.isLeaving(now, digest) {
+		return false
+	}
+	if pool.leaving == nil {
+		pool.leaving = map[uint64]time.Time{}
+	}
+	maps.DeleteFunc(pool.leaving, func(digest uint64, _ time.Time) bool { return !pool.isLeaving(now, digest) })
+	pool.leaving[digest] = now
+	return true
+}
+
+// isLeaving reports whether an engine has said to this process that it leaves.
+func (pool *Pool) isLeaving(now time.Time, digest uint64) bool {
+	since, ok := pool.leaving[digest]
+	return ok && now.Sub(since) < leavingLifetime
+}
+
 // RecordSuccess records that an engine answered correctly, and ends its ejection by this process.
 func (pool *Pool) RecordSuccess(descriptor fleet.Engine) {
 	if engine, ok := pool.engines[descriptor.Digest()]; ok {
--- a/core/coordination/placement/version_test.go
+++ b/core/coordination/placement/version_test.go
@@ -30,7 +30,7 @@
 	if decision := place("v0"); decision.Admitted || decision.Ticket != 0 || decision.Candidates != 0 {
 		t.Errorf("a stream of a version that is drained: %+v", decision)
 	}
-	if pool.Serves(engines[3].Build()) || !pool.Serves(engines[0].Build()) {
+	if pool.Serves(now, engines[3].Build()) || !pool.Serves(now, engines[0].Build()) {
 		t.Error("the versions that serve are wrong")
 	}
 	waiting := place("v1")
--- a/io/port/port.go
+++ b/io/port/port.go
@@ -84,6 +84,7 @@
 	Signed      bool // the response has the engine's signature, with which it names itself; the value is not checked
 	NotExecuted bool // the engine has not executed the request and will not
 	WrongEngine bool // another engine than the addressed one responded
+	Leaving     bool // the engine is about to end and takes no further requests
 	Load        Load
 	HasLoad     bool // Load is set
 }
--- a/io/process/node/placement.go
+++ b/io/process/node/placement.go
@@ -231,14 +231,27 @@
 	}
 }
 
-// RecordResponseLoad records the load that an engine reports in the head of a response, if it does. rejected reports
-// whether the engine rejected the request and so does not count it in this load. The result reports whether all slots of
-// the engine are in use.
+// recordLeaving records that an engine has said that it leaves, so that it gets no further work, and logs it the first time.
+func (node *Node) recordLeaving(now time.Time, engine fleet.Engine) {
+	node.placementMutex.Lock()
+	news := node.pool.RecordLeaving(now, engine)
+	node.placementMutex.Unlock()
+	if news {
+		node.Log.Info("engine says that it leaves", zap.String("engine", engine.Incarnation()), zap.String("address", engine.Address), zap.Duration("view_age", node.ViewAge()))
+	}
+}
+
+// RecordResponseLoad records what the head of a response says of its engine: that it leaves, and its load, if the head tells them.
+// rejected reports whether the engine rejected the request and so does not count it in this load. The result reports whether all
+// slots of the engine are in use.
 func (node *Node) RecordResponseLoad(engine fleet.Engine, head port.ResponseHead, rejected bool) (full bool) {
+	now := time.Now()
+	if head.Leaving && !head.WrongEngine {
+		node.recordLeaving(now, engine)
+	}
 	if !head.HasLoad {
 		return false
 	}
-	now := time.Now()
 	node.placementMutex.Lock()
 	full = node.pool.RecordResponseLoad(now, engine, head.Load.Running+head.Load.Waiting, rejected)
 	preemptions := node.pool.Preemptions(now)
--- a/io/process/node/streams.go
+++ b/io/process/node/streams.go
@@ -297,5 +297,5 @@
 func (node *Node) Serves(build fleet.Build) bool {
 	node.placementMutex.Lock()
 	defer node.placementMutex.Unlock()
-	return node.pool.Serves(build)
+	return node.pool.Serves(time.Now(), build)
 }
--- a/io/process/telemetry/events.go
+++ b/io/process/telemetry/events.go
@@ -42,6 +42,7 @@
 	{"engine gone", "engine", "the engine is no longer in the list; it gets no more requests"},
 	{"engine's entry ignored", "engine error", "the engine's record could not be decoded; the engine gets no requests"},
 	{"engine's entry missing after an outage", "engine used_until", "the engine's record expired shortly after a store outage; the engine is used until used_until, since it may only have been unable to renew its record"},
+	{"engine says that it leaves", "engine address view_age", "a response of the engine said that it is about to end; this process sends it no further work, whatever the store lists, and the other members prefer other engines"},
 	{"engine left", "engine failures until reason", "the engine is ejected after failures and gets no requests before the time in until"},
 	{"member connected", "member", "a connection to a peer was established; load counts are exchanged with it"},
 	{"member lost", "member error", "the connection to a peer was closed; its load counts are discarded"},
