upstream: an exchange that is given up resets its connection

Cause: giving up closed the connection, and the operating system goes on delivering what was written before.

Why this works: a reset discards what the peer has not received. Complete responses on connections that are not reused are closed as before.

--- a/io/transport/upstream/pool.go
+++ b/io/transport/upstream/pool.go
@@ -145,7 +145,7 @@
 		return nil, errors.WithType(err, ErrNotSent)
 	}
 	exchange = &Exchange{pool: pool, connection: connection, writeResult: make(chan error, 1)}
-	exchange.stopCloseOnDone = context.AfterFunc(ctx, func() { _ = connection.Close() })
+	exchange.stopCloseOnDone = context.AfterFunc(ctx, connection.reset)
 	message := request.encode(pool.Engines)
 	if len(message) <= maxInlineBytes {
 		_, err = connection.Write(message)
@@ -235,6 +235,15 @@
 	return opened.Close()
 }
 
+// reset closes a connection so that what the peer has not received yet is discarded, and not delivered later, as once a cut link is whole
+// again.
+func (connection *connection) reset() {
+	if tcp, ok := connection.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only if the connection is closed already
+	}
+	_ = connection.Close()
+}
+
 // takeIdle removes an idle connection from the pool and returns it, or nil if there is none. It closes expired connections.
 func (pool *Pool) takeIdle(address string) (found *connection) {
 	pool.mutex.Lock()
@@ -316,14 +325,14 @@
 	return nil
 }
 
-// Abort closes the connection, which makes the engine stop the request. It has no effect after Release.
+// Abort resets the connection, which makes the engine stop the request, or never receive it. It has no effect after Release.
 func (exchange *Exchange) Abort() {
 	if exchange.ended {
 		return
 	}
 	exchange.ended = true
 	exchange.stopCloseOnDone()
-	_ = exchange.connection.Close()
+	exchange.connection.reset()
 }
 
 // Release returns the connection to the pool for reuse. The caller must have read the body to its end. If the connection cannot
@@ -339,11 +348,15 @@
 	default:
 	}
 	closing := exchange.Response.Close || exchange.Response.ContentLength < 0 && !slices.Contains(exchange.Response.TransferEncoding, "chunked")
-	if !sent || closing || exchange.connection.reader.Buffered() > 0 || !exchange.stopCloseOnDone() {
+	if !sent || !exchange.stopCloseOnDone() {
 		exchange.Abort()
 		return
 	}
 	exchange.ended = true
+	if closing || exchange.connection.reader.Buffered() > 0 {
+		_ = exchange.connection.Close()
+		return
+	}
 	exchange.connection.idleLimit = parseIdleLimit(exchange.Response.Header.Get("Keep-Alive"))
 	exchange.pool.putIdle(exchange.connection)
 }
