ingress, entry: requests that arrive while the listener is closed are answered

Cause: closing a listener resets the connections that wait to be accepted; and Go's http.Server drops each request that it reads after Shutdown has been called, also the first one of a connection that it has just accepted.

Why this works: connections that wait are accepted, the listener is closed by itself, and Shutdown is called once no request is being read on a connection, after at most one second each. Connections that have served a request were told to close meanwhile, as before.

--- a/io/process/entry/entry.go
+++ b/io/process/entry/entry.go
@@ -21,6 +21,7 @@
 	"cowslipway/io/process/settings"
 	"cowslipway/io/protocol/etcd"
 	"cowslipway/io/protocol/peer"
+	"cowslipway/io/transport/http1"
 )
 
 const (
@@ -30,6 +31,7 @@
 	retryBurst         = 50    // retries that a full retry budget allows at once
 	readHeaderTimeout  = 10 * time.Second
 	idleTimeout        = 2 * time.Minute
+	readLimit          = time.Second // for connections that wait to be accepted, and for their requests, while the entry drains
 	drainCheckInterval = 20 * time.Millisecond
 	eventQueueLength   = 4096 // events waiting for the control goroutine
 	tickInterval       = 200 * time.Millisecond
@@ -85,15 +87,17 @@
 	go entry.runControl(background)
 	go entry.discover(background)
 	entry.startStoreTasks(background)
+	stopper := &http1.Stopper{ReadLimit: readLimit}
+	stopper.Attach(server)
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(listener) }()
+	go func() { failed <- http1.Serve(server, listener) }()
 	entry.Log.Info("entry is ready", zap.String("listen", listener.Addr().String()))
 	select {
 	case err = <-failed:
 		return err
 	case <-ctx.Done():
 	}
-	entry.drain(background, server)
+	entry.drain(background, server, func(ctx context.Context) error { return stopper.Stop(ctx, server, listener) })
 	return nil
 }
 
@@ -118,14 +122,14 @@
 
 // drain fails the health check but still accepts requests for Drain.BalancerWait, so that the load balancer stops sending
 // new ones. Then it shuts server down, and closes the remaining connections after Drain.Limit.
-func (entry *Entry) drain(ctx context.Context, server *http.Server) {
+func (entry *Entry) drain(ctx context.Context, server *http.Server, stop func(ctx context.Context) error) {
 	entry.draining.Store(true)
 	entry.Log.Info("draining", zap.Int64("in_flight", entry.inFlight.Load()))
 	time.Sleep(entry.Settings.Drain.BalancerWait.Duration())
 	entry.stopping.Store(true)
 	ctx, cancel := context.WithTimeout(ctx, entry.Settings.Drain.Limit.Duration())
 	defer cancel()
-	if server.Shutdown(ctx) != nil {
+	if stop(ctx) != nil {
 		remaining := entry.inFlight.Load()
 		entry.metrics.abortedRequests.Add(remaining)
 		entry.Log.Warn("drain deadline exceeded; closing the remaining connections", zap.Int64("cut", remaining))
--- a/io/process/ingress/server.go
+++ b/io/process/ingress/server.go
@@ -16,6 +16,7 @@
 
 	"cowslipway/io/port"
 	"cowslipway/io/process/node"
+	"cowslipway/io/transport/http1"
 
 	"cowslipway/io/process/telemetry"
 )
@@ -25,6 +26,7 @@
 	maxHeaderBytes      = 64 << 10
 	defaultMaxBodyBytes = 4 << 20 // applies where the configuration sets no limit
 	maxLinger           = 3 * time.Second
+	readLimit           = time.Second            // for connections that wait to be accepted, and for their requests, during the shutdown
 	shutdownMargin      = time.Second            // between the end of the shutdown and SIGKILL
 	notReadyRetryAfter  = 500 * time.Millisecond // a starting process has read the configuration by then
 )
@@ -57,12 +59,14 @@
 	readyServer := &http.Server{Handler: http.HandlerFunc(server.serveReady), ReadHeaderTimeout: readHeaderTimeout}
 	group, runCtx := errgroup.WithContext(runCtx)
 	group.Go(func() error { return server.Node.Run(runCtx) })
-	group.Go(func() error { return ignoreClosed(callerServer.Serve(callerListener)) })
-	group.Go(func() error { return ignoreClosed(readyServer.Serve(readyListener)) })
+	stopper := &http1.Stopper{ReadLimit: readLimit}
+	stopper.Attach(callerServer)
+	group.Go(func() error { return http1.Serve(callerServer, callerListener) })
+	group.Go(func() error { return http1.Serve(readyServer, readyListener) })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
-			server.shutdown(runCtx, callerServer)
+			server.shutdown(runCtx, callerServer, func(ctx context.Context) error { return stopper.Stop(ctx, callerServer, callerListener) })
 		case <-runCtx.Done():
 			_ = callerServer.Close()
 		}
@@ -78,17 +82,10 @@
 	return listener, errors.Annotatef(err, "listening on %s", address)
 }
 
-func ignoreClosed(err error) error {
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return err
-}
-
 // shutdown continues to accept calls until load balancers have detected that the process is not ready, finishes the calls
 // in progress and deregisters. It ends before the grace period does, by shutdownMargin or a quarter of the period,
 // whichever is shorter.
-func (server *Server) shutdown(ctx context.Context, callerServer *http.Server) {
+func (server *Server) shutdown(ctx context.Context, callerServer *http.Server, stop func(ctx context.Context) error) {
 	server.stopping.Store(true)
 	server.Log.Info("stopping")
 	server.Node.AnnounceLeaving()
@@ -97,7 +94,7 @@
 	time.Sleep(linger)
 	shutdownCtx, cancel := context.WithTimeout(ctx, max(0, grace-linger-min(shutdownMargin, grace/4)))
 	defer cancel()
-	if err := callerServer.Shutdown(shutdownCtx); err != nil {
+	if err := stop(shutdownCtx); err != nil {
 		server.Log.Warn("requests cut by the stop", telemetry.Err(err))
 		_ = callerServer.Close()
 	}
--- /dev/null
+++ b/io/transport/http1/stopper_test.go
@@ -0,0 +1,55 @@
+package http1
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// TestStopReadsRequests guards against dropping requests that arrive while a server is being stopped, on connections that it has accepted
+// or has yet to accept.
+func TestStopReadsRequests(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(writer, "served") })}
+	stopper := &Stopper{ReadLimit: time.Minute}
+	stopper.Attach(server)
+	var conns []net.Conn
+	for range 50 {
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = conn.Close() }()
+		conns = append(conns, conn)
+	}
+	served, stopped := make(chan error, 1), make(chan error, 1)
+	go func() { served <- Serve(server, listener) }()
+	go func() { stopped <- stopper.Stop(context.Background(), server, listener) }()
+	for _, conn := range conns {
+		if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for number, conn := range conns {
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Fatalf("request %d: %v", number, err)
+		}
+		if body, err := io.ReadAll(response.Body); err != nil || string(body) != "served" {
+			t.Errorf("request %d: %q, %v", number, body, err)
+		}
+	}
+	if err := <-served; err != nil {
+		t.Errorf("serving ended with %v", err)
+	}
+	if err := <-stopped; err != nil {
+		t.Errorf("stopping ended with %v", err)
+	}
+}
