--- a/io/transport/http1/stopper_test.go
+++ b/io/transport/http1/stopper_test.go
@@ -42,7 +42,9 @@
 		if err != nil {
 			t.Fatalf("request %d: %v", number, err)
 		}
-		if body, err := io.ReadAll(response.Body); err != nil || string(body) != "served" {
+		body, err := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		if err != nil || string(body) != "served" {
 			t.Errorf("request %d: %q, %v", number, body, err)
 		}
 	}
