--- a/io/process/explain/explain.go
+++ b/io/process/explain/explain.go
@@ -80,7 +80,7 @@
 	last := report.Matches[len(report.Matches)-1]
 	for _, line := range slices.Backward(report.Matches) {
 		// These lines don't show how it ended, and may follow the one that does.
-		if !slices.Contains([]string{"job swept", "job ended", "engine ended during a request", "request quarantined"}, line.Event) {
+		if !slices.Contains([]string{"job swept", "job ended", "engine ended during a request", "engine end learned", "request quarantined", "trial claimed"}, line.Event) {
 			last = line
 			break
 		}
@@ -120,7 +120,7 @@
 	case "item run":
 		return fmt.Sprintf("last run of the item: %s at %s after %s events%s%s", last.Text("verdict"), last.Text("engine"), last.Text("events"), unsuccessful, report.describeRestart(last, lines))
 	case "item withheld":
-		return fmt.Sprintf("withheld until %s by %s: %s engines ended one after another while they ran it (fingerprint %s)%s", last.Text("until"), last.VM, last.Text("ends"), last.Text("fingerprint"), unsuccessful)
+		return fmt.Sprintf("withheld until %s by %s: %s engines ended while they ran it (fingerprint %s)%s", last.Text("until"), last.VM, last.Text("ends"), last.Text("fingerprint"), unsuccessful)
 	case "job complete":
 		return "the job is complete" + unsuccessful
 	case "job dropped":
