resumption: a build that replaces another one at once is a change too

An ingress informs other members of the streams that it serves when the engines of a service come to have several versions.

Also: the log shows no negative retry delay.

--- a/core/coordination/resumption/history.go
+++ b/core/coordination/resumption/history.go
@@ -1,6 +1,7 @@
 package resumption
 
 import (
+	"slices"
 	"time"
 
 	"cowslipway/core/state/fleet"
@@ -13,38 +14,40 @@
 	gone    map[fleet.Build]time.Time // when the last engine of a build was removed from the list
 }
 
-// Observe replaces the engines that are listed. It returns the services whose engines now have several builds and had fewer before.
+// Observe replaces the engines that are listed. It returns the services with a build that was not listed before beside another one that is
+// or was.
 func (history *History) Observe(now time.Time, engines []fleet.Engine) (mixed []string) {
 	if history.started.IsZero() {
 		history.started, history.gone = now, map[fleet.Build]time.Time{}
 	}
-	before := history.builds()
+	before := history.listed
 	listed := map[fleet.Build]bool{}
 	for _, engine := range engines {
 		listed[engine.Build()] = true
 		delete(history.gone, engine.Build())
 	}
-	for build := range history.listed {
+	for build := range before {
 		if !listed[build] {
 			history.gone[build] = now
 		}
 	}
 	history.listed = listed
-	for service, count := range history.builds() {
-		if count > 1 && count > before[service] {
-			mixed = append(mixed, service)
+	for build := range listed {
+		if !before[build] && (hasOther(listed, build) || hasOther(before, build)) && !slices.Contains(mixed, build.Service) {
+			mixed = append(mixed, build.Service)
 		}
 	}
 	return mixed
 }
 
-// builds returns the number of listed builds by service.
-func (history *History) builds() (counts map[string]int) {
-	counts = map[string]int{}
-	for build := range history.listed {
-		counts[build.Service]++
+// hasOther reports whether builds has another build of the same service.
+func hasOther(builds map[fleet.Build]bool, build fleet.Build) bool {
+	for other := range builds {
+		if other.Service == build.Service && other != build {
+			return true
+		}
 	}
-	return counts
+	return false
 }
 
 // Sole returns the version that all engines of a service have had for a time; ok reports whether there is one. It is then the version
--- a/io/process/ingress/server.go
+++ b/io/process/ingress/server.go
@@ -143,7 +143,7 @@
 	_, _ = io.WriteString(writer, reason+"\n") //nolint:gosec // plain text; a caller that has disconnected needs no response
 	telemetry.Requests.Add("refused "+strconv.Itoa(status), 1)
 	server.Log.Info("refused", append(decisionFields, zap.String("request", call.RequestID), zap.String("job", call.JobID), zap.Int("status", status),
-		zap.Duration("retry_after", retryAfter), zap.String("reason", reason))...)
+		zap.Duration("retry_after", max(0, retryAfter)), zap.String("reason", reason))...)
 }
 
 // requestHost returns the request's host without a port.
