node: a process claims its own trial again as often as others may

A claim of the same process always succeeded, since the response to it may have been lost. Where a trial neither completed nor ended its engine, as when its caller gave up, the same process could so take it every 15 s, without bound.

--- a/io/process/node/trial.go
+++ b/io/process/node/trial.go
@@ -54,7 +54,7 @@
 	switch decodeErr := json.Unmarshal(current[0].Value, &known); {
 	case decodeErr != nil:
 		return decodeErr
-	case known.Process == node.self.ID():
+	case known.Process == node.self.ID() && time.Since(known.At) <= TrialLifetime:
 		return nil // the response to an earlier claim was lost
 	case time.Since(known.At) > TrialLifetime && known.Claims < maxClaims:
 		_, err = claim(current[0].Revision, known.Claims+1)
