--- a/core/coordination/placement/leaving_test.go
+++ b/core/coordination/placement/leaving_test.go
@@ -9,7 +9,7 @@
 )
 
 // TestEnginesThatSayTheyLeave guards against work for an engine that has said that it leaves, while the store goes on to list it or lists
-// it again, in a fleet under steady load. Peers that were told only by this process prefer other engines. A later incarnation serves.
+// it again, in a fleet under steady load. Peers that only this process informed prefer other engines. A later incarnation serves.
 func TestEnginesThatSayTheyLeave(t *testing.T) {
 	now := time.Unix(1000, 0)
 	leaving, other := fleet.Engine{ID: "leaving", Service: "s", Slots: 8, StartUnixMilli: 1}, fleet.Engine{ID: "other", Service: "s", Slots: 8}
--- a/core/coordination/placement/placement.go
+++ b/core/coordination/placement/placement.go
@@ -31,7 +31,7 @@
 	// last for some seconds, and an item preempted right after its start only costs a connection and prompt processing.
 	batchCooldown = 700 * time.Millisecond
 	// leavingLifetime is how long an engine that said that it leaves gets no work. An engine that leaves ends within seconds; one that
-	// starts again is another incarnation, unless it does not tell its start time.
+	// starts again is another incarnation, unless its record has no start time.
 	leavingLifetime    = 5 * time.Minute
 	rateWindow         = time.Second           // time constant of the average release rate
 	initialReleaseRate = 20                    // slots per second, as two engines release; used before the first release
--- a/io/process/node/placement.go
+++ b/io/process/node/placement.go
@@ -241,7 +241,7 @@
 	}
 }
 
-// RecordResponseLoad records what the head of a response says of its engine: that it leaves, and its load, if the head tells them.
+// RecordResponseLoad records what the head of a response says of its engine: that it leaves, and its load, if the head has them.
 // rejected reports whether the engine rejected the request and so does not count it in this load. The result reports whether all
 // slots of the engine are in use.
 func (node *Node) RecordResponseLoad(engine fleet.Engine, head port.ResponseHead, rejected bool) (full bool) {
--- a/io/process/node/streams.go
+++ b/io/process/node/streams.go
@@ -23,12 +23,12 @@
 	// streamAsked is how many members are asked which build began a stream. It exceeds streamHolders, since members that start or end
 	// change the order of the holders.
 	streamAsked = 8
-	// shortAsk and longAsk bound the wait for the answers of members: shortAsk where the history of the engines tells the build anyway.
+	// shortAsk and longAsk bound the wait for the answers of members: shortAsk where the build follows from the engines listed lately.
 	shortAsk = 30 * time.Millisecond
 	longAsk  = 150 * time.Millisecond
 	// rebuildWait bounds the wait until the holders know that a stream begins at another build than they were informed of.
 	rebuildWait = 50 * time.Millisecond
-	// viewLag is the age up to which a view of the store tells which builds the engines have.
+	// viewLag is the age up to which a view of the store shows which builds the engines have.
 	viewLag = 2 * time.Second
 	// streamMargin is how long a stream may be taken up after the longest time that its request may take.
 	streamMargin = 3 * time.Second
@@ -71,7 +71,7 @@
 	return begunStream{RequestID: stream.RequestID, Build: stream.Build, Attempt: stream.Attempt, RemainingMS: stream.Until.Sub(now).Milliseconds()}
 }
 
-// decode returns the stream that a message tells of.
+// decode returns the stream of a message.
 func (begun begunStream) decode(now time.Time) resumption.Stream {
 	return resumption.Stream{RequestID: begun.RequestID, Build: begun.Build, Attempt: begun.Attempt, Until: now.Add(time.Duration(begun.RemainingMS) * time.Millisecond)}
 }
@@ -246,7 +246,7 @@
 	return streams.history.Sole(now, service, window)
 }
 
-// FoundStream tells which build began a stream.
+// FoundStream is the build that began a stream, and how it was found.
 type FoundStream struct {
 	Build  fleet.Build
 	Source string // member that knew, "view" if it follows from the engines of the last time, or empty if it is not known
--- a/io/process/telemetry/events.go
+++ b/io/process/telemetry/events.go
@@ -54,7 +54,7 @@
 
 	{"engine ended during a request", "engine request fingerprint ran reason", "an engine broke off its response and has ended, which counts against the request; reason tells from what that is known"},
 	{"engine end learned", "fingerprint request engine member age reported counted", "an engine's end under a request became known, from the member that saw it or from the store, age after it happened; counted of the reported ends count towards a quarantine"},
-	{"request quarantined", "fingerprint request engines until", "engines ended under the request, as this process has seen or been told; it is not sent to engines until then, except in trials"},
+	{"request quarantined", "fingerprint request engines until", "engines ended under the request, as this process has seen or learned from others; it is not sent to engines until then, except in trials"},
 	{"quarantine lifted", "fingerprint reason ends", "a quarantined request may run again; ends is the number of engine ends that no longer count"},
 	{"suspicion ignored", "key error", "the record of an engine's end or of a clearance could not be decoded"},
 	{"suspicions of a member could not be read", "error", "a message about requests under which engines ended could not be decoded and was ignored"},
