node: a stream begins once another member knows its version

Cause: members were informed beside the request, with nothing that waited for them; and a caller that names no request was held to the evidence that a named one needs.

Why this works: members are informed while the engine works, and the first event is forwarded once one of them has responded, after 100 ms at most, or both where they may hold an earlier attempt at another build. A caller that names no request, as callers that know of no versions, goes on at the only version that is listed.

--- a/io/process/ingress/online.go
+++ b/io/process/ingress/online.go
@@ -39,6 +39,8 @@
 	// maxConnectFailures bounds how many engines may refuse a connection without using up the attempts that the route
 	// allows: a whole failure domain or half of a service may be down, and a connection is refused within 1 ms.
 	maxConnectFailures = 8
+	// recordWait bounds the wait for members that hold the record of a stream; they respond within a few milliseconds.
+	recordWait = 100 * time.Millisecond
 	// trialRetryAfter covers the claim of a trial and the run of most requests.
 	trialRetryAfter = time.Second
 	copyBufferBytes = 16 << 10
@@ -108,6 +110,7 @@
 	excluded        []uint64 // digests of the engines tried
 	mayHaveExecuted bool
 	reachedEngine   bool                    // in at least one attempt
+	recorded        <-chan struct{}         // closed once other members know which build streams the response; nil if they need not
 	trial           int                     // number of the trial that the request runs as; 0 if it is none
 	version         string                  // software version at which the stream began and may go on; empty while it may begin at any
 	headerSent      bool                    // the caller has been sent status and header
@@ -251,7 +254,7 @@
 		}
 		online.attempts++
 		if online.resumable() && online.version == "" {
-			online.server.Node.RecordStream(ctx, online.call.RequestID, decision.Engine.Build(), online.attempts+online.connectFailures, node.StreamWindow(online.route.Timeout))
+			online.recorded = online.server.Node.RecordStream(ctx, online.call.RequestID, decision.Engine.Build(), online.attempts+online.connectFailures, node.StreamWindow(online.route.Timeout))
 		}
 		online.log("placed", decision.Engine, online.decisionFields(decision, waited)...)
 		result, cause := online.attempt(ctx, decision.Engine)
@@ -583,6 +586,7 @@
 		}
 		watchdog.eventReceived()
 		if online.events == 0 {
+			online.awaitRecord()
 			online.firstEventAt = time.Now()
 		}
 		online.events++
@@ -599,6 +603,20 @@
 	}
 }
 
+// awaitRecord waits before the first event until other members know which build streams the response, so that the stream can be resumed
+// if this process is lost after the event. They have been informed while the engine worked on the event.
+func (online *onlineRequest) awaitRecord() {
+	if online.recorded == nil {
+		return
+	}
+	timer := time.NewTimer(recordWait)
+	defer timer.Stop()
+	select {
+	case <-online.recorded:
+	case <-timer.C:
+	}
+}
+
 // forwardBody forwards a response that is not a stream of events.
 func (online *onlineRequest) forwardBody(exchange *upstream.Exchange) (err error) {
 	defer func() { err = errors.Annotate(err, "forwarding a body") }()
--- a/io/process/node/streams.go
+++ b/io/process/node/streams.go
@@ -26,8 +26,6 @@
 	// shortAsk and longAsk bound the wait for the answers of members: shortAsk where the build follows from the engines listed lately.
 	shortAsk = 30 * time.Millisecond
 	longAsk  = 150 * time.Millisecond
-	// rebuildWait bounds the wait until the holders know that a stream begins at another build than they were informed of.
-	rebuildWait = 50 * time.Millisecond
 	// viewLag is the age up to which a view of the store shows which builds the engines have.
 	viewLag = 2 * time.Second
 	// streamMargin is how long a stream may be taken up after the longest time that its request may take.
@@ -101,47 +99,62 @@
 		begun := streams.registry.Local(now, service)
 		streams.node.Log.Info("several software versions serve", zap.String("service", service), zap.Int("streams", len(begun)))
 		for _, stream := range begun {
-			streams.informHolders(stream)
+			streams.queue(stream)
 		}
 	}
 }
 
-// informHolders queues a stream for the members that keep its record. The mutex must be held.
-func (streams *streams) informHolders(stream resumption.Stream) (holders []string) {
-	self := streams.node.self.ID()
-	for _, holder := range resumption.Holders(stream.RequestID, streams.node.directory.allMembers(), streamHolders+1) {
-		if holder != self && len(holders) < streamHolders {
-			streams.pending[holder] = append(streams.pending[holder], stream)
-			holders = append(holders, holder)
-		}
+// queue queues a stream for the members that keep its record. The mutex must be held.
+func (streams *streams) queue(stream resumption.Stream) {
+	for _, holder := range streams.holders(stream.RequestID, streamHolders) {
+		streams.pending[holder] = append(streams.pending[holder], stream)
 	}
 	select {
 	case streams.wake <- struct{}{}:
 	default: // already requested
 	}
-	return holders
 }
 
 // RecordStream records that the response to a request is about to be streamed by an engine of a build, so that the stream can be
-// resumed at the same build, here or at another member. Before an attempt at another build than that of the last one it waits until
-// the holders of the record know.
-func (node *Node) RecordStream(ctx context.Context, requestID string, build fleet.Build, attempt int, window time.Duration) {
+// resumed at the same build, here or at another member. informed is closed once the stream may begin as far as its holders are concerned:
+// when one of them knows, or, if they may know of an attempt at another build, when all of them have responded.
+func (node *Node) RecordStream(ctx context.Context, requestID string, build fleet.Build, attempt int, window time.Duration) (informed <-chan struct{}) {
 	streams, now := &node.streams, time.Now()
 	stream := resumption.Stream{RequestID: requestID, Build: build, Attempt: attempt, Until: now.Add(window), Local: true}
+	done := make(chan struct{})
 	streams.mutex.Lock()
+	defer streams.mutex.Unlock()
 	replaced := streams.registry.Put(stream)
-	if replaced.RequestID != "" && replaced.Build != build {
-		holders := streams.informHolders(stream)
-		streams.mutex.Unlock()
-		ctx, cancel := context.WithTimeout(ctx, rebuildWait)
-		defer cancel()
-		streams.ask(ctx, holders, streamMessage{Begun: []begunStream{encodeStream(now, stream)}}, func(string, streamMessage) bool { return false })
-		return
+	rebuilt := replaced.RequestID != "" && replaced.Build != build
+	if _, sole := streams.history.Sole(now, build.Service, window); sole && !rebuilt {
+		close(done)
+		return done
 	}
-	if _, sole := streams.history.Sole(now, build.Service, window); !sole {
-		streams.informHolders(stream)
+	holders := streams.holders(requestID, streamHolders)
+	go func() {
+		closeOnce := sync.OnceFunc(func() { close(done) })
+		defer closeOnce()
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), informTimeout)
+		defer cancel()
+		message := streamMessage{Begun: []begunStream{encodeStream(now, stream)}}
+		streams.ask(ctx, holders, message, func(string, streamMessage) (finished bool) {
+			if !rebuilt {
+				closeOnce()
+			}
+			return false
+		})
+	}()
+	return done
+}
+
+// holders returns the IDs of up to limit other members that keep the record of a stream, the most likely ones first.
+func (streams *streams) holders(requestID string, limit int) (holders []string) {
+	for _, holder := range resumption.Holders(requestID, streams.node.directory.allMembers(), limit+1) {
+		if holder != streams.node.self.ID() && len(holders) < limit {
+			holders = append(holders, holder)
+		}
 	}
-	streams.mutex.Unlock()
+	return holders
 }
 
 // run informs members of streams until ctx ends.
@@ -249,7 +262,7 @@
 // FoundStream is the build that began a stream, and how it was found.
 type FoundStream struct {
 	Build  fleet.Build
-	Source string // member that knew, "view" if it follows from the engines of the last time, or empty if it is not known
+	Source string // member that knew, "view" or "list" if it follows from the engines listed lately or now, or empty if it is not known
 	Asked  int    // other members that were asked
 	Silent int    // those of them that did not respond in time
 }
@@ -270,12 +283,7 @@
 		limit = shortAsk
 		found = FoundStream{Build: fleet.Build{Service: service, Version: sole}, Source: "view"}
 	}
-	var asked []string
-	for _, holder := range resumption.Holders(requestID, node.directory.allMembers(), streamAsked+1) {
-		if holder != node.self.ID() && len(asked) < streamAsked {
-			asked = append(asked, holder)
-		}
-	}
+	asked := streams.holders(requestID, streamAsked)
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	message := streamMessage{Find: requestID, Service: service, WindowMS: window.Milliseconds()}
@@ -290,9 +298,25 @@
 		}
 		return false
 	})
+	if found.Source == "" && requestID == "" {
+		return streams.findUnnamed(found, service)
+	}
 	return found, found.Source != ""
 }
 
+// findUnnamed finds the build of a stream whose caller has not named the request that began it, where no member knows which builds served
+// for as long as a stream may last, as after all of them have started again. Such callers do not know of software versions, and are
+// served where only one version is listed now.
+func (streams *streams) findUnnamed(asked FoundStream, service string) (found FoundStream, ok bool) {
+	streams.mutex.Lock()
+	defer streams.mutex.Unlock()
+	version, ok := streams.sole(time.Now(), service, 0)
+	if ok {
+		asked.Build, asked.Source = fleet.Build{Service: service, Version: version}, "list"
+	}
+	return asked, ok
+}
+
 // Serves reports whether an engine of a build takes requests.
 func (node *Node) Serves(build fleet.Build) bool {
 	node.placementMutex.Lock()
