--- a/io/process/node/streams.go
+++ b/io/process/node/streams.go
@@ -271,6 +271,9 @@
 // the stream as far as is known, and window is the largest age of the stream.
 func (node *Node) FindStream(ctx context.Context, requestID, service string, window time.Duration) (found FoundStream, ok bool) {
 	streams, now := &node.streams, time.Now()
+	if requestID == "" {
+		return streams.findUnnamed(now, service)
+	}
 	streams.mutex.Lock()
 	known, ok := streams.registry.Find(now, requestID)
 	sole, hasSole := streams.sole(now, service, window)
@@ -298,23 +301,19 @@
 		}
 		return false
 	})
-	if found.Source == "" && requestID == "" {
-		return streams.findUnnamed(found, service)
-	}
 	return found, found.Source != ""
 }
 
-// findUnnamed finds the build of a stream whose caller has not named the request that began it, where no member knows which builds served
-// for as long as a stream may last, as after all of them have started again. Such callers do not know of software versions, and are
-// served where only one version is listed now.
-func (streams *streams) findUnnamed(asked FoundStream, service string) (found FoundStream, ok bool) {
+// findUnnamed finds the build of a stream whose caller has not named the request that began it. Such callers do not know of software
+// versions, and are served where only one version is listed.
+func (streams *streams) findUnnamed(now time.Time, service string) (found FoundStream, ok bool) {
 	streams.mutex.Lock()
 	defer streams.mutex.Unlock()
-	version, ok := streams.sole(time.Now(), service, 0)
+	version, ok := streams.sole(now, service, 0)
 	if ok {
-		asked.Build, asked.Source = fleet.Build{Service: service, Version: version}, "list"
+		found = FoundStream{Build: fleet.Build{Service: service, Version: version}, Source: "list"}
 	}
-	return asked, ok
+	return found, ok
 }
 
 // Serves reports whether an engine of a build takes requests.
