node: a stream that its caller does not name goes on while the store is away

The age of the view was asked for, so that during an outage of the store each such stream was refused. By reading; a caller that names no request is served at the only version that is listed, and all views are as old then.

--- a/io/process/node/streams.go
+++ b/io/process/node/streams.go
@@ -305,11 +305,11 @@
 }
 
 // findUnnamed finds the build of a stream whose caller has not named the request that began it. Such callers do not know of software
-// versions, and are served where only one version is listed.
+// versions, and are served where only one version is listed, however old the list is: all views are as old while the store is away.
 func (streams *streams) findUnnamed(now time.Time, service string) (found FoundStream, ok bool) {
 	streams.mutex.Lock()
 	defer streams.mutex.Unlock()
-	version, ok := streams.sole(now, service, 0)
+	version, ok := streams.history.Sole(now, service, 0)
 	if ok {
 		found = FoundStream{Build: fleet.Build{Service: service, Version: version}, Source: "list"}
 	}
