node, platform: the line about an engine's end names the parts of the prompt

Different requests may share the part of a prompt that ends their engines. Logs identified whole requests only, so that what the requests of an incident have in common could not be seen. No decision depends on the parts yet.

--- a/io/port/port.go
+++ b/io/port/port.go
@@ -104,6 +104,9 @@
 type Engines interface {
 	// Apply sets the fields of attempt on header.
 	Apply(header http.Header, attempt Attempt)
+	// PromptParts returns the IDs of the parts of a request's prompt that other requests may have too, in their order. Their number is
+	// bounded.
+	PromptParts(header http.Header) (ids []string)
 	// ResponseHead decodes the head of a response.
 	ResponseHead(response *http.Response) ResponseHead
 	// ReportURL returns the URL at which the engine at address reports its load.
--- a/io/process/ingress/online.go
+++ b/io/process/ingress/online.go
@@ -491,7 +491,7 @@
 // eventsBefore is the number of events sent to the caller before the attempt.
 func (online *onlineRequest) checkEngineEnd(ctx context.Context, engine fleet.Engine, sent time.Time, eventsBefore int) {
 	if ctx.Err() == nil {
-		online.server.Node.CheckEngineEnd(ctx, node.EngineRun{Engine: engine, RequestID: online.call.RequestID, Fingerprint: online.fingerprint(), Sent: sent, Events: online.events - eventsBefore})
+		online.server.Node.CheckEngineEnd(ctx, node.EngineRun{Engine: engine, RequestID: online.call.RequestID, Fingerprint: online.fingerprint(), Parts: online.server.Node.Engines.PromptParts(online.header), Sent: sent, Events: online.events - eventsBefore})
 	}
 }
 
--- a/io/process/node/engine_end.go
+++ b/io/process/node/engine_end.go
@@ -33,6 +33,7 @@
 	Engine      fleet.Engine
 	RequestID   string
 	Fingerprint poisonpill.Fingerprint
+	Parts       []string // IDs of the parts of its prompt that other requests may have too
 	Sent        time.Time
 	Events      int // received from the engine
 }
@@ -44,6 +45,11 @@
 	at time.Time
 }
 
+// same reports whether broken and other are of one run.
+func (broken brokenRun) same(other brokenRun) bool {
+	return broken.RequestID == other.RequestID && broken.Engine.ID == other.Engine.ID && broken.at.Equal(other.at)
+}
+
 // CheckEngineEnd finds out whether an engine that broke off its response to a request has ended, and if so counts that
 // against the request. An engine that accepts a connection is taken to be alive, unless it refuses one a moment later, or a new
 // incarnation is listed at its address soon after.
@@ -72,7 +78,7 @@
 	}
 	time.AfterFunc(recheckDelay, func() {
 		if err := node.Upstream.Probe(context.WithoutCancel(ctx), run.Engine.Address); errors.Is(err, syscall.ECONNREFUSED) {
-			node.quarantine.confirmEnds(err.Error(), func(other brokenRun) bool { return other == broken })
+			node.quarantine.confirmEnds(err.Error(), broken.same)
 		}
 	})
 }
@@ -125,7 +131,7 @@
 	quarantine.mutex.Lock()
 	defer quarantine.mutex.Unlock()
 	node.Log.Info("engine ended during a request", zap.String("engine", broken.Engine.ID), zap.String("request", broken.RequestID),
-		zap.Stringer("fingerprint", broken.Fingerprint), zap.Duration("ran", broken.at.Sub(broken.Sent)), zap.String("reason", reason))
+		zap.Stringer("fingerprint", broken.Fingerprint), zap.Strings("parts", broken.Parts), zap.Int("events", broken.Events), zap.Duration("ran", broken.at.Sub(broken.Sent)), zap.String("reason", reason))
 	if !quarantine.add(end) {
 		return
 	}
--- a/io/process/telemetry/events.go
+++ b/io/process/telemetry/events.go
@@ -52,7 +52,7 @@
 	{"counts left out of a message", "left", "the load counts did not fit into a datagram; left is the number of entries omitted"},
 	{"engine report", "reachable error", "the engine on this VM became reachable or unreachable for the reporter"},
 
-	{"engine ended during a request", "engine request fingerprint ran reason", "an engine broke off its response and has ended, which counts against the request; reason tells from what that is known"},
+	{"engine ended during a request", "engine request fingerprint parts events ran reason", "an engine broke off its response after so many events and has ended, which counts against the request; parts are the parts of its prompt that other requests may have too, and reason tells from what the end is known"},
 	{"engine end learned", "fingerprint request engine member age reported counted", "an engine's end under a request became known, from the member that saw it or from the store, age after it happened; counted of the reported ends count towards a quarantine"},
 	{"request quarantined", "fingerprint request engines until", "engines ended under the request, as this process has seen or learned from others; it is not sent to engines until then, except in trials"},
 	{"quarantine lifted", "fingerprint reason ends", "a quarantined request may run again; ends is the number of engine ends that no longer count"},
--- a/io/process/worker/item.go
+++ b/io/process/worker/item.go
@@ -38,17 +38,17 @@
 	idleTimer := time.AfterFunc(idleTimeout, cancel)
 	defer idleTimer.Stop()
 	sent := time.Now()
+	header := http.Header{}
+	for name, value := range itemRun.Item.Header {
+		header.Set(name, value)
+	}
 	defer func() {
 		brokenOff := outcome == jobrunner.Interrupted && ctx.Err() == nil // by the engine
 		events := len(progress.Data) - len(itemRun.Progress.Data)
 		if brokenOff {
-			worker.Node.CheckEngineEnd(ctx, node.EngineRun{Engine: engine, RequestID: itemRun.Item.ID, Fingerprint: fingerprintOf(itemRun), Sent: sent, Events: events})
+			worker.Node.CheckEngineEnd(ctx, node.EngineRun{Engine: engine, RequestID: itemRun.Item.ID, Fingerprint: fingerprintOf(itemRun), Parts: worker.Node.Engines.PromptParts(header), Sent: sent, Events: events})
 		}
 	}()
-	header := http.Header{}
-	for name, value := range itemRun.Item.Header {
-		header.Set(name, value)
-	}
 	exchange, err := worker.Node.Upstream.Send(ctx, upstream.Request{
 		Address: engine.Address,
 		Method:  http.MethodPost,
