poisonpill, node: engine ends count against the parts of prompts

Cause: only whole requests were counted. The class of fault: the identity of the cause was assumed to be that of the unit that is sent.

An end now also counts against the parts of the prompt that other requests may have. All parts of a request are accused alike; what tells them apart is that requests run. Each process remembers the parts that ran to their eighth event or to their end, for each build of the engines; such a part is not accused. A process that learns of an end under a part that it has seen run vouches for it to the members, once, so that shared parts, which run hundreds of times a second, cost no messages. Ends are also explained by a part with more of them, so that innocent requests beside the cause are not refused.

--- a/core/coordination/poisonpill/ledger_test.go
+++ b/core/coordination/poisonpill/ledger_test.go
@@ -1,7 +1,9 @@
 package poisonpill
 
 import (
+	"cmp"
 	"fmt"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -36,6 +38,25 @@
 				}
 				added := ledger.Add(now, end)
 				fmt.Fprintf(&out, "added: %v\n", added)
+			case "part-end": // part-end PART BUILD ENGINE SENT ENDED [PROCESS]
+				part := PartsOf(words[1:2])[0]
+				end := EngineEnd{Fingerprint: part.Fingerprint, Part: part.ID, Build: words[2], Engine: words[3], Sent: at(words[4]), Ended: at(words[5])}
+				if len(words) > 6 {
+					end.Process = words[6]
+				}
+				fmt.Fprintf(&out, "added: %v\n", ledger.Add(now, end))
+			case "sound": // sound PART BUILD AT, as this process has seen
+				fmt.Fprintf(&out, "accused: %v\n", ledger.RecordSound(at(words[3]), PartsOf(words[1:2])[0].Fingerprint, words[2]))
+			case "clear-part": // clear-part PART BUILD AT
+				clearance := Clearance{Fingerprint: PartsOf(words[1:2])[0].Fingerprint, Build: words[2], At: at(words[3])}
+				fmt.Fprintf(&out, "removed: %d\n", len(ledger.Clear(clearance)))
+			case "request": // request REQUEST BUILD PART ...: the quarantines that apply to it at a build; the build "any" is that of no engine
+				build := strings.TrimPrefix(words[2], "any")
+				quarantines, explained := ledger.Quarantines(now, Content{Request: fingerprint(words[1]), Parts: PartsOf(words[3:])}, build)
+				for _, quarantine := range quarantines {
+					fmt.Fprintf(&out, "%s: %d ends, %d trials from %s, due %v, unproven %v\n", cmp.Or(quarantine.Part, "request"), len(quarantine.Ends), quarantine.Trials, quarantine.Trial.Sub(start), quarantine.Due(now), quarantine.Unproven)
+				}
+				fmt.Fprintf(&out, "quarantines: %d, explained %v\n", len(quarantines), explained)
 			case "ends": // ends REQUEST ENGINE COUNT: one a second
 				var count, added int
 				if _, err := fmt.Sscan(words[3], &count); err != nil {
@@ -68,7 +89,7 @@
 				if _, err := fmt.Sscan(words[1], &maxRequests); err != nil {
 					t.Fatal(err)
 				}
-				ledger, now = &Ledger{MaxRequests: maxRequests}, start
+				ledger, now = &Ledger{MaxRequests: maxRequests, MaxSound: maxRequests}, start
 			default:
 				t.Fatalf("unknown command %q", words[0])
 			}
@@ -77,6 +98,33 @@
 	})
 }
 
+// BenchmarkQuarantines looks up a request with a part that ended engines, while each end is also that of other requests and parts. Guards
+// against a lookup that walks all suspects: callers repeat what is refused, and each request with a suspected part is looked up.
+func BenchmarkQuarantines(b *testing.B) {
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	parts := PartsOf([]string{"a", "b", "c"})
+	for _, suspects := range []int{10, 500, 4096} {
+		b.Run(strconv.Itoa(suspects), func(b *testing.B) {
+			ledger := Ledger{MaxRequests: 4096, MaxSound: 4096}
+			for number := range suspects {
+				request := FingerprintOf("POST", "host", strconv.Itoa(number), nil)
+				for end := range 5 {
+					sent := start.Add(time.Duration(number%60*10+end) * time.Second)
+					ledger.Add(start, EngineEnd{Fingerprint: request, Engine: fmt.Sprintf("e%d-%d", number%60, end), Sent: sent, Ended: sent.Add(time.Second / 2)})
+				}
+			}
+			for end := range maxEnds {
+				sent := start.Add(time.Duration(end/5*10+end%5) * time.Second)
+				ledger.Add(start, EngineEnd{Fingerprint: parts[1].Fingerprint, Part: "b", Build: "s v1", Engine: fmt.Sprintf("e%d-%d", end/5, end%5), Sent: sent, Ended: sent.Add(time.Second / 2)})
+			}
+			content := Content{Request: FingerprintOf("POST", "host", "0", nil), Parts: parts}
+			for b.Loop() {
+				ledger.Quarantines(start, content, "s v1")
+			}
+		})
+	}
+}
+
 // TestFingerprint checks that each part of a request counts, and that a fingerprint survives its encoding.
 func TestFingerprint(t *testing.T) {
 	base := FingerprintOf("POST", "host", "/path?query", []byte("body"))
--- a/core/state/fleet/fleet.go
+++ b/core/state/fleet/fleet.go
@@ -48,6 +48,9 @@
 	Version string `json:"version"`
 }
 
+// Text returns the build as text, as in records.
+func (build Build) Text() (text string) { return build.Service + " " + build.Version }
+
 // Build returns the build of the engine.
 func (engine Engine) Build() Build {
 	return Build{Service: engine.Service, Version: engine.SoftwareVersion}
--- a/io/process/ingress/online.go
+++ b/io/process/ingress/online.go
@@ -59,8 +59,11 @@
 // quarantinedReason is the reason for which a request is rejected under which several engines have ended.
 const quarantinedReason = "quarantined, since engines ended while they ran this request"
 
+// quarantinedPartReason is the reason for which a request is rejected that has a part of a prompt under which several engines have ended.
+const quarantinedPartReason = "quarantined, since engines ended while they ran requests with a part of its prompt"
+
 // unprovenReason is the reason for which a request is rejected while another copy of it is tried.
-const unprovenReason = "quarantined until one copy has run, since engines ended while they ran copies of this request"
+const unprovenReason = "quarantined until one like it has run, since engines ended while they ran copies of this request, or others with a part of its prompt"
 
 // The reasons for which a caller cannot resume a stream.
 const (
@@ -109,15 +112,15 @@
 	connectFailures int      // engines that did not accept a connection
 	excluded        []uint64 // digests of the engines tried
 	mayHaveExecuted bool
-	reachedEngine   bool                    // in at least one attempt
-	recorded        <-chan struct{}         // closed once other members know which build streams the response; nil if they need not
-	trial           int                     // number of the trial that the request runs as; 0 if it is none
-	version         string                  // software version at which the stream began and may go on; empty while it may begin at any
-	headerSent      bool                    // the caller has been sent status and header
-	streaming       bool                    // the response is a stream of events
-	lastEventID     string                  // ID of the last event sent to the caller
-	events          int                     // sent to the caller
-	digest          *poisonpill.Fingerprint // nil until fingerprint is called
+	reachedEngine   bool                           // in at least one attempt
+	recorded        <-chan struct{}                // closed once other members know which build streams the response; nil if they need not
+	trials          map[poisonpill.Fingerprint]int // numbers of the trials that the request runs as, by the request or part that is tried
+	version         string                         // software version at which the stream began and may go on; empty while it may begin at any
+	headerSent      bool                           // the caller has been sent status and header
+	streaming       bool                           // the response is a stream of events
+	lastEventID     string                         // ID of the last event sent to the caller
+	events          int                            // sent to the caller
+	read            *poisonpill.Content            // what engines read of the request; nil until content is called
 	firstEventAt    time.Time
 }
 
@@ -222,14 +225,14 @@
 		defer cancel()
 	}
 	defer func() {
-		if online.trial != 0 {
-			online.server.Node.ReturnTrial(online.fingerprint(), online.trial, online.reachedEngine)
+		for fingerprint, number := range online.trials {
+			online.server.Node.ReturnTrial(fingerprint, number, online.reachedEngine)
 		}
 	}()
 	retryAfter, reason := time.Duration(0), ""
 	var fields []zap.Field // of the decision not to send the request to an engine
 	for online.attempts < online.route.MaxAttempts && ctx.Err() == nil {
-		if quarantine, ok := online.server.Node.Quarantined(online.fingerprint); ok && !online.mayTry(ctx, quarantine) {
+		if quarantine, ok := online.quarantined(ctx, fleet.Engine{}); ok {
 			retryAfter, reason, fields = online.rejectQuarantined(quarantine)
 			break
 		}
@@ -247,7 +250,7 @@
 			fields = online.decisionFields(decision, waited)
 			break
 		}
-		if quarantine, ok := online.server.Node.Quarantined(online.fingerprint); ok && !online.mayTry(ctx, quarantine) { // since it began to wait for the slot
+		if quarantine, ok := online.quarantined(ctx, decision.Engine); ok { // since it began to wait for the slot, or at this engine's build only
 			online.server.Node.Release(decision.Engine, false)
 			retryAfter, reason, fields = online.rejectQuarantined(quarantine)
 			break
@@ -268,6 +271,7 @@
 		if result == served || result == failureForwarded {
 			if result == served {
 				online.server.Node.RecordCompletion(online.fingerprint)
+				online.server.Node.RecordSound(decision.Engine, online.parts())
 			}
 			online.recordOutcome(result.String())
 			return
@@ -287,13 +291,23 @@
 	online.rejectUnserved(ctx, retryAfter, reason, fields)
 }
 
-// fingerprint returns the fingerprint of the request.
-func (online *onlineRequest) fingerprint() poisonpill.Fingerprint {
-	if online.digest == nil {
-		digest := poisonpill.FingerprintOf(online.request.Method, online.request.Host, online.request.RequestURI, online.body)
-		online.digest = &digest
+// content returns what engines read of the request.
+func (online *onlineRequest) content() poisonpill.Content {
+	if online.read == nil {
+		online.read = &poisonpill.Content{
+			Request: poisonpill.FingerprintOf(online.request.Method, online.request.Host, online.request.RequestURI, online.body),
+			Parts:   online.parts(),
+		}
 	}
-	return *online.digest
+	return *online.read
+}
+
+// fingerprint returns the fingerprint of the request.
+func (online *onlineRequest) fingerprint() poisonpill.Fingerprint { return online.content().Request }
+
+// parts returns the parts of the prompt that other requests may have too.
+func (online *onlineRequest) parts() []poisonpill.Part {
+	return poisonpill.PartsOf(online.server.Node.Engines.PromptParts(online.header))
 }
 
 // fingerprintField returns the log field with the fingerprint of the request after an attempt whose outcome is unknown, and
@@ -321,30 +335,44 @@
 	}
 }
 
-// mayTry reports whether the request may run although it is quarantined, as the only copy in the fleet that does.
+// quarantined returns a quarantine that keeps the request from running at engine, or at any engine if that is the zero value. ok is
+// false if there is none, or if the request may run as the trial of all that there are.
+func (online *onlineRequest) quarantined(ctx context.Context, engine fleet.Engine) (quarantine poisonpill.Quarantine, ok bool) {
+	quarantines, explained := online.server.Node.Quarantines(online.content, engine)
+	for _, quarantine := range quarantines {
+		if explained || !online.mayTry(ctx, quarantine) {
+			return quarantine, true
+		}
+	}
+	return quarantine, false
+}
+
+// mayTry reports whether the request may run although it, or a part of its prompt, is quarantined: as the only one in the fleet that does.
 func (online *onlineRequest) mayTry(ctx context.Context, quarantine poisonpill.Quarantine) (allowed bool) {
-	if online.trial != 0 {
-		return online.trial == quarantine.TrialNumber && !online.reachedEngine
+	if number, ok := online.trials[quarantine.Fingerprint]; ok {
+		return number == quarantine.TrialNumber && !online.reachedEngine
 	}
-	if !online.server.Node.TakeTrial(ctx, online.fingerprint(), online.call.RequestID, quarantine) {
+	if !online.server.Node.TakeTrial(ctx, online.call.RequestID, quarantine) {
 		return false
 	}
-	online.trial = quarantine.TrialNumber
+	if online.trials == nil {
+		online.trials = map[poisonpill.Fingerprint]int{}
+	}
+	online.trials[quarantine.Fingerprint] = quarantine.TrialNumber
 	return true
 }
 
 // rejectQuarantined returns why a quarantined request is rejected and when it may run again. While its quarantine is unproven, that
 // is once a trial has completed.
 func (online *onlineRequest) rejectQuarantined(quarantine poisonpill.Quarantine) (retryAfter time.Duration, reason string, fields []zap.Field) {
-	if quarantine.Unproven {
-		return trialRetryAfter, unprovenReason, online.quarantineFields(quarantine)
+	reason, retryAfter = quarantinedReason, time.Until(quarantine.Until)
+	if quarantine.Part != "" {
+		reason = quarantinedPartReason
 	}
-	return time.Until(quarantine.Until), quarantinedReason, online.quarantineFields(quarantine)
-}
-
-// quarantineFields returns the log fields for the quarantine of the request.
-func (online *onlineRequest) quarantineFields(quarantine poisonpill.Quarantine) []zap.Field {
-	return []zap.Field{zap.Stringer("fingerprint", online.fingerprint()), zap.Int("ends", len(quarantine.Ends)), zap.Time("until", quarantine.Until)}
+	if quarantine.Unproven && quarantine.Trials > 0 {
+		reason, retryAfter = unprovenReason, trialRetryAfter
+	}
+	return retryAfter, reason, []zap.Field{zap.Stringer("fingerprint", quarantine.Fingerprint), zap.String("part", quarantine.Part), zap.Int("ends", len(quarantine.Ends)), zap.Time("until", quarantine.Until)}
 }
 
 // placementRequest returns the request for a slot at the next engine. Its deadline leaves time for the first event, or for
@@ -439,7 +467,7 @@
 	}
 	if online.route.Kind == routes.Stream && status == http.StatusOK && isEvents(exchange.Response) {
 		online.streaming = true
-		err = online.forwardEvents(exchange, watchdog)
+		err = online.forwardEvents(engine, exchange, watchdog)
 	} else {
 		watchdog.stop()
 		err = online.forwardBody(exchange)
@@ -491,7 +519,7 @@
 // eventsBefore is the number of events sent to the caller before the attempt.
 func (online *onlineRequest) checkEngineEnd(ctx context.Context, engine fleet.Engine, sent time.Time, eventsBefore int) {
 	if ctx.Err() == nil {
-		online.server.Node.CheckEngineEnd(ctx, node.EngineRun{Engine: engine, RequestID: online.call.RequestID, Fingerprint: online.fingerprint(), Parts: online.server.Node.Engines.PromptParts(online.header), Sent: sent, Events: online.events - eventsBefore})
+		online.server.Node.CheckEngineEnd(ctx, node.EngineRun{Engine: engine, RequestID: online.call.RequestID, Content: online.content(), Sent: sent, Events: online.events - eventsBefore})
 	}
 }
 
@@ -568,10 +596,11 @@
 
 // forwardEvents forwards whole events as they arrive. It fails where the order of event IDs shows that the stream repeats
 // an event.
-func (online *onlineRequest) forwardEvents(exchange *upstream.Exchange, watchdog *watchdog) (err error) {
+func (online *onlineRequest) forwardEvents(engine fleet.Engine, exchange *upstream.Exchange, watchdog *watchdog) (err error) {
 	defer func() { err = errors.Annotate(err, "forwarding a stream") }()
 	events := upstream.NewEventReader(exchange.Response.Body)
 	flusher := http.NewResponseController(online.writer)
+	received := 0 // in this attempt
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
@@ -590,6 +619,9 @@
 			online.firstEventAt = time.Now()
 		}
 		online.events++
+		if received++; received == node.SoundEvents {
+			online.server.Node.RecordSound(engine, online.parts())
+		}
 		online.sendHeader(exchange.Response)
 		if _, err = online.writer.Write(event.Raw); err != nil {
 			return err
--- a/io/process/node/engine_end.go
+++ b/io/process/node/engine_end.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// maxSuspectEvents is the number of events of a run from which on the end of its engine does not count against the request:
+	// SoundEvents is the number of events of a run from which on the end of its engine does not count against the request:
 	// a request that ends its engines does so when it begins to run, and a long run meets the ends that others cause.
-	maxSuspectEvents = 8
+	SoundEvents = 8
 	// recheckDelay is the time after which an engine that accepted a connection is tried again: connections to a process that
 	// is ending may still be accepted before its listening socket is closed.
 	recheckDelay = 100 * time.Millisecond
@@ -30,12 +30,11 @@
 
 // EngineRun is a run of a request at an engine.
 type EngineRun struct {
-	Engine      fleet.Engine
-	RequestID   string
-	Fingerprint poisonpill.Fingerprint
-	Parts       []string // IDs of the parts of its prompt that other requests may have too
-	Sent        time.Time
-	Events      int // received from the engine
+	Engine    fleet.Engine
+	RequestID string
+	Content   poisonpill.Content
+	Sent      time.Time
+	Events    int // received from the engine
 }
 
 // brokenRun is a run that its engine broke off.
@@ -54,7 +53,7 @@
 // against the request. An engine that accepts a connection is taken to be alive, unless it refuses one a moment later, or a new
 // incarnation is listed at its address soon after.
 func (node *Node) CheckEngineEnd(ctx context.Context, run EngineRun) {
-	if run.Events >= maxSuspectEvents {
+	if run.Events >= SoundEvents {
 		return
 	}
 	broken := brokenRun{EngineRun: run, at: time.Now()}
@@ -126,12 +125,27 @@
 	telemetry.EngineChecks.Add("ended", 1)
 	node := quarantine.node
 	end := poisonpill.EngineEnd{
-		Fingerprint: broken.Fingerprint, Engine: broken.Engine.Incarnation(), Request: broken.RequestID, Process: node.self.Name, Sent: broken.Sent, Ended: broken.at,
+		Fingerprint: broken.Content.Request, Engine: broken.Engine.Incarnation(), Request: broken.RequestID, Process: node.self.Name, Sent: broken.Sent, Ended: broken.at,
+	}
+	parts := make([]string, 0, len(broken.Content.Parts))
+	for _, part := range broken.Content.Parts {
+		parts = append(parts, part.ID)
 	}
 	quarantine.mutex.Lock()
 	defer quarantine.mutex.Unlock()
 	node.Log.Info("engine ended during a request", zap.String("engine", broken.Engine.ID), zap.String("request", broken.RequestID),
-		zap.Stringer("fingerprint", broken.Fingerprint), zap.Strings("parts", broken.Parts), zap.Int("events", broken.Events), zap.Duration("ran", broken.at.Sub(broken.Sent)), zap.String("reason", reason))
+		zap.Stringer("fingerprint", end.Fingerprint), zap.Strings("parts", parts), zap.Int("events", broken.Events), zap.Duration("ran", broken.at.Sub(broken.Sent)), zap.String("reason", reason))
+	quarantine.report(end)
+	end.Build = broken.Engine.Build().Text()
+	for _, part := range broken.Content.Parts {
+		end.Fingerprint, end.Part = part.Fingerprint, part.ID
+		quarantine.report(end)
+	}
+}
+
+// report adds an engine's end that this process has seen, unless it is known or does not count, and has it told to the other members. The
+// mutex must be held.
+func (quarantine *quarantine) report(end poisonpill.EngineEnd) {
 	if !quarantine.add(end) {
 		return
 	}
--- a/io/process/node/quarantine.go
+++ b/io/process/node/quarantine.go
@@ -9,11 +9,13 @@
 	"go.uber.org/zap"
 
 	"cowslipway/core/coordination/poisonpill"
+	"cowslipway/core/state/fleet"
 	"cowslipway/io/process/telemetry"
 )
 
 const (
-	maxSuspects = 4096 // requests with engine ends that are kept in memory; each end takes about 300 bytes
+	maxSuspects   = 4096 // requests and parts of prompts with engine ends that are kept in memory; each end takes about 300 bytes
+	maxSoundParts = 4096 // parts of prompts that ran lately; each takes about 200 bytes
 	// maxUnsavedEnds bounds the engine ends that wait for the store. Peers have been told of those that are dropped.
 	maxUnsavedEnds = 1024
 )
@@ -36,8 +38,15 @@
 	saving     bool                           // a write to the store is in progress, or its outcome is unknown
 	saved      map[string]time.Time           // times of the records in the store, by key
 	trials     map[poisonpill.Fingerprint]*heldTrial
-	wakeShare  chan struct{} // there is something to share
-	wakeSave   chan struct{} // there is something to save
+	vouched    map[vouchedPart]time.Time // of the last clearance that informed other members that a part is sound
+	wakeShare  chan struct{}             // there is something to share
+	wakeSave   chan struct{}             // there is something to save
+}
+
+// vouchedPart is a part of prompts that is sound at a build of the engines.
+type vouchedPart struct {
+	fingerprint poisonpill.Fingerprint
+	build       string
 }
 
 // toldEnd is an engine's end that a peer has told.
@@ -50,7 +59,8 @@
 // init sets up an empty quarantine.
 func (quarantine *quarantine) init(node *Node) {
 	quarantine.node = node
-	quarantine.ledger.MaxRequests = maxSuspects
+	quarantine.ledger.MaxRequests, quarantine.ledger.MaxSound = maxSuspects, maxSoundParts
+	quarantine.vouched = map[vouchedPart]time.Time{}
 	quarantine.announced = map[poisonpill.Fingerprint]int{}
 	quarantine.saved = map[string]time.Time{}
 	quarantine.trials = map[poisonpill.Fingerprint]*heldTrial{}
@@ -80,17 +90,65 @@
 	quarantine.requestFlush()
 }
 
-// Quarantined returns the quarantine of a request; ok reports whether it is quarantined. fingerprint is called only if
-// engines have ended under any request.
-func (node *Node) Quarantined(fingerprint func() poisonpill.Fingerprint) (found poisonpill.Quarantine, ok bool) {
+// RecordSound records that a run at an engine has shown that no part of its prompt ends engines of that build. Other members are informed
+// if one was suspected to.
+func (node *Node) RecordSound(engine fleet.Engine, parts []poisonpill.Part) {
+	quarantine, build, now := &node.quarantine, engine.Build().Text(), time.Now()
+	quarantine.mutex.Lock()
+	defer quarantine.mutex.Unlock()
+	for _, part := range parts {
+		if quarantine.ledger.RecordSound(now, part.Fingerprint, build) {
+			clearance := poisonpill.Clearance{Fingerprint: part.Fingerprint, At: now, Build: build}
+			if quarantine.vouch(clearance, "a request with it ran") {
+				quarantine.clearances = append(quarantine.clearances, clearance)
+			}
+		}
+	}
+}
+
+// vouch informs the other members that a part of prompts is sound at a build, and removes the ends that counted against it. It reports
+// whether the store may hold such ends. The mutex must be held.
+func (quarantine *quarantine) vouch(clearance poisonpill.Clearance, reason string) (mayBeSaved bool) {
+	if len(quarantine.vouched) >= maxSoundParts {
+		clear(quarantine.vouched)
+	}
+	quarantine.vouched[vouchedPart{clearance.Fingerprint, clearance.Build}] = clearance.At
+	quarantine.unshared.Clearances = append(quarantine.unshared.Clearances, clearance)
+	mayBeSaved = quarantine.clear(clearance, reason)
+	quarantine.requestFlush()
+	return mayBeSaved
+}
+
+// vouchAgainst informs the other members that the part of an end which another member reported is sound, if this process knows that and
+// has not done so since the end. saved reports whether the end is in the store. The mutex must be held.
+func (quarantine *quarantine) vouchAgainst(end poisonpill.EngineEnd, saved bool) {
+	now := time.Now()
+	if end.Part == "" || now.Sub(end.Ended) > poisonpill.EndLifetime || !quarantine.ledger.Sound(now, end.Fingerprint, end.Build) {
+		return
+	}
+	if vouched, ok := quarantine.vouched[vouchedPart{end.Fingerprint, end.Build}]; !ok || end.Ended.After(vouched) {
+		clearance := poisonpill.Clearance{Fingerprint: end.Fingerprint, At: now, Build: end.Build}
+		if quarantine.vouch(clearance, "a request with it ran before") || saved {
+			quarantine.clearances = append(quarantine.clearances, clearance)
+		}
+	}
+}
+
+// Quarantines returns the quarantines that apply to a request at engine, or at any engine if that is the zero value. content is
+// called only if engines have ended under any request. explained is as [poisonpill.Ledger.Quarantines] returns it.
+func (node *Node) Quarantines(content func() poisonpill.Content, engine fleet.Engine) (found []poisonpill.Quarantine, explained bool) {
 	quarantine := &node.quarantine
 	if quarantine.suspects.Load() == 0 {
-		return found, false
+		return nil, false
+	}
+	build := ""
+	if engine.ID != "" {
+		build = engine.Build().Text()
 	}
-	digest := fingerprint()
+	read := content()
 	quarantine.mutex.Lock()
 	defer quarantine.mutex.Unlock()
-	return quarantine.ledger.Quarantine(time.Now(), digest)
+	return quarantine.ledger.Quarantines(time.Now(), read, build)
 }
 
 // add adds an engine's end to the ledger and logs the quarantine that results from it. It reports whether the end is new.
@@ -102,7 +160,7 @@
 	}
 	quarantine.suspects.Store(int32(quarantine.ledger.Len())) //nolint:gosec // at most maxSuspects
 	reported, counted := quarantine.ledger.Counts(now, end.Fingerprint)
-	quarantine.node.Log.Info("engine end learned", zap.Stringer("fingerprint", end.Fingerprint), zap.String("request", end.Request), zap.String("engine", end.Engine),
+	quarantine.node.Log.Info("engine end learned", zap.Stringer("fingerprint", end.Fingerprint), zap.String("part", end.Part), zap.String("request", end.Request), zap.String("engine", end.Engine),
 		zap.String("member", end.Process), zap.Duration("age", now.Sub(end.Ended)), zap.Int("reported", reported), zap.Int("counted", counted))
 	found, quarantined := quarantine.ledger.Quarantine(now, end.Fingerprint)
 	if !quarantined || len(found.Ends) <= quarantine.announced[end.Fingerprint] {
@@ -117,7 +175,7 @@
 		engines = append(engines, end.Engine)
 	}
 	telemetry.Quarantines.Add("quarantined", 1)
-	quarantine.node.Log.Warn("request quarantined", zap.Stringer("fingerprint", end.Fingerprint), zap.String("request", end.Request),
+	quarantine.node.Log.Warn("request quarantined", zap.Stringer("fingerprint", end.Fingerprint), zap.String("part", end.Part), zap.String("request", end.Request),
 		zap.Strings("engines", engines), zap.Time("until", found.Until))
 	return true
 }
@@ -130,12 +188,12 @@
 		return false
 	}
 	quarantine.told = slices.DeleteFunc(quarantine.told, func(told toldEnd) bool {
-		return told.Fingerprint == clearance.Fingerprint && !told.Ended.After(clearance.At)
+		return told.Fingerprint == clearance.Fingerprint && clearance.Covers(told.EngineEnd)
 	})
 	unsaved := quarantine.unsaved[:0]
 	waiting := 0
 	for _, end := range quarantine.unsaved {
-		if end.Fingerprint == clearance.Fingerprint && !end.Ended.After(clearance.At) {
+		if end.Fingerprint == clearance.Fingerprint && clearance.Covers(end) {
 			waiting++
 			continue
 		}
@@ -145,7 +203,7 @@
 	delete(quarantine.announced, clearance.Fingerprint)
 	if quarantined {
 		telemetry.Quarantines.Add("lifted", 1)
-		quarantine.node.Log.Info("quarantine lifted", zap.Stringer("fingerprint", clearance.Fingerprint), zap.String("reason", reason), zap.Int("ends", len(removed)))
+		quarantine.node.Log.Info("quarantine lifted", zap.Stringer("fingerprint", clearance.Fingerprint), zap.String("part", removed[0].Part), zap.String("reason", reason), zap.Int("ends", len(removed)))
 	}
 	return waiting < len(removed) || quarantine.saving
 }
--- a/io/process/node/quarantine_test.go
+++ b/io/process/node/quarantine_test.go
@@ -56,7 +56,7 @@
 	}
 	node := newTestNode()
 	fingerprint := poisonpill.FingerprintOf("POST", "host", "/", nil)
-	node.CheckEngineEnd(context.Background(), EngineRun{Engine: fleet.Engine{ID: "e1", Address: address}, Fingerprint: fingerprint, Sent: time.Now()})
+	node.CheckEngineEnd(context.Background(), EngineRun{Engine: fleet.Engine{ID: "e1", Address: address}, Content: poisonpill.Content{Request: fingerprint}, Sent: time.Now()})
 	if node.quarantine.ledger.Suspected(fingerprint) {
 		t.Error("the end of an engine that does not answer a connection was counted")
 	}
@@ -74,7 +74,7 @@
 	node := newTestNode()
 	former, current := fleet.Engine{ID: "e1", StartUnixMilli: 1000, Address: address}, fleet.Engine{ID: "e2", StartUnixMilli: 5000, Address: address}
 	fingerprint := poisonpill.FingerprintOf("POST", "host", "/", nil)
-	node.CheckEngineEnd(context.Background(), EngineRun{Engine: current, Fingerprint: fingerprint, Sent: time.Now(), Events: 1})
+	node.CheckEngineEnd(context.Background(), EngineRun{Engine: current, Content: poisonpill.Content{Request: fingerprint}, Sent: time.Now(), Events: 1})
 	node.quarantine.engineListed(former)
 	node.quarantine.engineListed(current)
 	if node.quarantine.ledger.Suspected(fingerprint) {
@@ -97,7 +97,7 @@
 	later := fleet.Engine{ID: "e1", StartUnixMilli: sent.Add(time.Second).UnixMilli(), Address: address}
 	node := newTestNode()
 	fingerprint := poisonpill.FingerprintOf("POST", "host", "/", nil)
-	node.CheckEngineEnd(context.Background(), EngineRun{Engine: believed, Fingerprint: fingerprint, Sent: sent, Events: 1})
+	node.CheckEngineEnd(context.Background(), EngineRun{Engine: believed, Content: poisonpill.Content{Request: fingerprint}, Sent: sent, Events: 1})
 	node.quarantine.engineListed(current)
 	if node.quarantine.ledger.Suspected(fingerprint) {
 		t.Error("the end of an engine was counted that had started before the request was sent, and is alive")
@@ -123,7 +123,7 @@
 	node := newTestNode()
 	node.directory.engines[later.ID] = later
 	fingerprint := poisonpill.FingerprintOf("POST", "host", "/", nil)
-	node.CheckEngineEnd(context.Background(), EngineRun{Engine: believed, Fingerprint: fingerprint, Sent: sent})
+	node.CheckEngineEnd(context.Background(), EngineRun{Engine: believed, Content: poisonpill.Content{Request: fingerprint}, Sent: sent})
 	if !node.quarantine.ledger.Suspected(fingerprint) {
 		t.Error("the end of an engine was not counted although a later incarnation is listed")
 	}
@@ -136,7 +136,7 @@
 	fingerprint := poisonpill.FingerprintOf("POST", "host", "/", nil)
 	now := time.Now()
 	for number, at := range []time.Time{now.Add(-time.Second), now} {
-		node.quarantine.recordEnd(brokenRun{EngineRun: EngineRun{Engine: fleet.Engine{ID: "e", StartUnixMilli: int64(number)}, Fingerprint: fingerprint, Sent: at}, at: at}, "test")
+		node.quarantine.recordEnd(brokenRun{EngineRun: EngineRun{Engine: fleet.Engine{ID: "e", StartUnixMilli: int64(number)}, Content: poisonpill.Content{Request: fingerprint}, Sent: at}, at: at}, "test")
 	}
 	node.quarantine.merge(suspicionSet{Clearances: []poisonpill.Clearance{{Fingerprint: fingerprint, At: now.Add(-500 * time.Millisecond)}}})
 	if !node.quarantine.ledger.Suspected(fingerprint) {
@@ -204,10 +204,42 @@
 	const resets = 10
 	for number := range resets {
 		fingerprint := poisonpill.FingerprintOf("POST", "host", fmt.Sprint("/", number), nil)
-		node.CheckEngineEnd(context.Background(), EngineRun{Engine: fleet.Engine{ID: "e", Address: listener.Addr().String()}, Fingerprint: fingerprint, Sent: time.Now()})
+		node.CheckEngineEnd(context.Background(), EngineRun{Engine: fleet.Engine{ID: "e", Address: listener.Addr().String()}, Content: poisonpill.Content{Request: fingerprint}, Sent: time.Now()})
 	}
 	time.Sleep(5 * recheckDelay)
 	if count := open.Load(); count > resets {
 		t.Errorf("%d connections are open after %d responses were broken off, want at most one for each that the engine closed", count, resets)
 	}
 }
+
+// TestSoundPartIsVouchedFor checks that a process which has seen requests with a part run informs the members that report an end under it,
+// once for all ends up to then: a member that has just started would refuse popular parts after an outage.
+func TestSoundPartIsVouchedFor(t *testing.T) {
+	knowing, started := newTestNode(), newTestNode()
+	knowing.Records, started.Records = recordNames{}, recordNames{}
+	engine := fleet.Engine{ID: "e", Service: "s", SoftwareVersion: "v1"}
+	parts := poisonpill.PartsOf([]string{"popular"})
+	knowing.RecordSound(engine, parts)
+	now := time.Now()
+	for number := range 3 {
+		engine.ID = fmt.Sprintf("e%d", number)
+		run := EngineRun{Engine: engine, Content: poisonpill.Content{Request: poisonpill.FingerprintOf("POST", "host", engine.ID, nil), Parts: parts}, Sent: now}
+		started.quarantine.recordEnd(brokenRun{EngineRun: run, at: now}, "test")
+	}
+	knowing.quarantine.merge(started.quarantine.unshared)
+	if knowing.quarantine.ledger.Suspected(parts[0].Fingerprint) {
+		t.Error("the process that has seen the part run suspects it")
+	}
+	vouched := knowing.quarantine.unshared
+	if len(vouched.Clearances) != 1 || len(knowing.quarantine.clearances) != 0 {
+		t.Errorf("%d clearances for the members and %d for the store, want one and none", len(vouched.Clearances), len(knowing.quarantine.clearances))
+	}
+	started.quarantine.merge(vouched)
+	found, _ := started.Quarantines(func() poisonpill.Content { return poisonpill.Content{Parts: parts} }, fleet.Engine{})
+	if len(found) != 0 {
+		t.Errorf("the member that reported the ends still refuses the part: %v", found)
+	}
+	if unsaved := len(started.quarantine.unsaved); unsaved != 3 {
+		t.Errorf("%d ends wait for the store, want those of the three requests", unsaved)
+	}
+}
--- a/io/process/node/suspicion_admin.go
+++ b/io/process/node/suspicion_admin.go
@@ -18,9 +18,10 @@
 	Records port.Records
 }
 
-// Suspect is a request under which engines ended.
+// Suspect is a request, or a part of prompts, under which engines ended.
 type Suspect struct {
 	Fingerprint poisonpill.Fingerprint `json:"fingerprint"`
+	Part        string                 `json:"part,omitempty"` // ID of the part; empty for a request
 	Quarantined bool                   `json:"quarantined"`
 	Until       time.Time              `json:"until,omitzero"` // end of the quarantine
 	Ends        []poisonpill.EngineEnd `json:"ends"`
@@ -35,7 +36,7 @@
 		return nil, err
 	}
 	now := time.Now()
-	ledger := poisonpill.Ledger{MaxRequests: max(1, len(items))}
+	ledger := poisonpill.Ledger{MaxRequests: max(1, len(items)), MaxSound: max(1, len(items))}
 	for _, item := range items {
 		read, err := decodeSuspicion(item)
 		if err != nil {
@@ -53,7 +54,7 @@
 		index, ok := indexes[end.Fingerprint]
 		if !ok {
 			quarantine, quarantined := ledger.Quarantine(now, end.Fingerprint)
-			index, suspects = len(suspects), append(suspects, Suspect{Fingerprint: end.Fingerprint, Quarantined: quarantined, Until: quarantine.Until})
+			index, suspects = len(suspects), append(suspects, Suspect{Fingerprint: end.Fingerprint, Part: end.Part, Quarantined: quarantined, Until: quarantine.Until})
 			indexes[end.Fingerprint] = index
 		}
 		suspects[index].Ends = append(suspects[index].Ends, end)
@@ -80,7 +81,7 @@
 	if err != nil {
 		return err
 	}
-	key := admin.Records.OwnKey(clearanceKey(fingerprint))
+	key := admin.Records.OwnKey(clearanceKey(clearance))
 	_, _, err = admin.Store.Commit(ctx, store.Txn{Writes: []store.Write{{Key: key, Value: value}}})
 	return err
 }
--- a/io/process/node/suspicion_records.go
+++ b/io/process/node/suspicion_records.go
@@ -19,7 +19,7 @@
 
 const (
 	suspicionPrefix = "suspicions/"
-	clearanceName   = "cleared" // last part of the key of a clearance
+	clearanceName   = "cleared" // start of the last part of the key of a clearance
 	trialName       = "trial-"  // start of the last part of the key of a trial
 
 	// saveDelay is how long an engine's end waits before it is written to the store. Most requests are not the cause, are
@@ -40,15 +40,19 @@
 	return quarantine.node.Records.OwnKey(fmt.Sprintf("%s%s/%016x", suspicionPrefix, end.Fingerprint, xxhash.Sum64String(run)))
 }
 
-// clearanceKey returns the name of the own record that clears a request.
-func clearanceKey(fingerprint poisonpill.Fingerprint) (name string) {
-	return suspicionPrefix + fingerprint.String() + "/" + clearanceName
+// clearanceKey returns the name of the own record of a clearance. Those for different builds do not replace each other.
+func clearanceKey(clearance poisonpill.Clearance) (name string) {
+	name = suspicionPrefix + clearance.Fingerprint.String() + "/" + clearanceName
+	if clearance.Build != "" {
+		name += fmt.Sprintf("-%016x", xxhash.Sum64String(clearance.Build))
+	}
+	return name
 }
 
 // decodeSuspicion decodes the record of an engine's end, of a clearance or of a trial.
 func decodeSuspicion(item store.Item) (read suspicionSet, err error) {
 	defer func() { err = errors.Annotatef(err, "decoding %q", item.Key) }()
-	if strings.HasSuffix(item.Key, "/"+clearanceName) {
+	if strings.Contains(item.Key, "/"+clearanceName) {
 		read.Clearances = make([]poisonpill.Clearance, 1)
 		return read, json.Unmarshal(item.Value, &read.Clearances[0])
 	}
@@ -74,6 +78,7 @@
 	}
 	for _, end := range read.Ends {
 		quarantine.saved[item.Key] = end.Ended
+		quarantine.vouchAgainst(end, true)
 		quarantine.add(end)
 	}
 	for _, trial := range read.trials {
@@ -151,7 +156,7 @@
 	for _, clearance := range quarantine.clearances {
 		if txn.Entries() < store.MaxTxnEntries {
 			value, _ := json.Marshal(clearance) // strings and times only
-			txn.Writes = append(txn.Writes, store.Write{Key: quarantine.node.Records.OwnKey(clearanceKey(clearance.Fingerprint)), Value: value})
+			txn.Writes = append(txn.Writes, store.Write{Key: quarantine.node.Records.OwnKey(clearanceKey(clearance)), Value: value})
 			clearances = append(clearances, clearance)
 		}
 	}
--- a/io/process/node/suspicion_sharing.go
+++ b/io/process/node/suspicion_sharing.go
@@ -51,6 +51,7 @@
 	quarantine.mutex.Lock()
 	defer quarantine.mutex.Unlock()
 	for _, end := range told.Ends {
+		quarantine.vouchAgainst(end, false)
 		if _, saved := quarantine.saved[quarantine.endKey(end)]; quarantine.add(end) && !saved {
 			quarantine.keepForPeer(end)
 		}
--- a/io/process/node/trial.go
+++ b/io/process/node/trial.go
@@ -69,13 +69,13 @@
 	retryAt time.Time // it may be claimed again from this time on
 }
 
-// TakeTrial claims the next trial of a request whose quarantine is unproven, for one run of this process that ReturnTrial ends. It
-// reports false if another copy of the request has the trial, here or at another process.
-func (node *Node) TakeTrial(ctx context.Context, fingerprint poisonpill.Fingerprint, requestID string, found poisonpill.Quarantine) (taken bool) {
-	if !found.Unproven || found.Trials == 0 {
+// TakeTrial claims the next trial of a quarantine for one run of a request of this process that ReturnTrial ends. It reports false if none
+// is due, or if another request has it, here or at another process.
+func (node *Node) TakeTrial(ctx context.Context, requestID string, found poisonpill.Quarantine) (taken bool) {
+	if !found.Due(time.Now()) {
 		return false
 	}
-	quarantine := &node.quarantine
+	quarantine, fingerprint := &node.quarantine, found.Fingerprint
 	quarantine.mutex.Lock()
 	held := quarantine.trials[fingerprint]
 	if held != nil && held.number == found.TrialNumber && (held.free || time.Now().Before(held.retryAt)) {
@@ -93,7 +93,7 @@
 	ctx, cancel := context.WithTimeout(ctx, trialClaimLimit)
 	defer cancel()
 	err := node.ClaimTrial(ctx, fingerprint, found.TrialNumber)
-	node.Log.Info("trial claimed", zap.String("request", requestID), zap.Stringer("fingerprint", fingerprint), zap.Int("ends", found.TrialNumber), telemetry.Err(err))
+	node.Log.Info("trial claimed", zap.String("request", requestID), zap.Stringer("fingerprint", fingerprint), zap.String("part", found.Part), zap.Int("ends", found.TrialNumber), telemetry.Err(err))
 	if err != nil && !errors.Is(err, store.ErrConflict) {
 		quarantine.mutex.Lock()
 		held.retryAt = time.Now().Add(trialClaimRetry)
--- a/io/process/worker/item.go
+++ b/io/process/worker/item.go
@@ -38,15 +38,11 @@
 	idleTimer := time.AfterFunc(idleTimeout, cancel)
 	defer idleTimer.Stop()
 	sent := time.Now()
-	header := http.Header{}
-	for name, value := range itemRun.Item.Header {
-		header.Set(name, value)
-	}
 	defer func() {
 		brokenOff := outcome == jobrunner.Interrupted && ctx.Err() == nil // by the engine
 		events := len(progress.Data) - len(itemRun.Progress.Data)
 		if brokenOff {
-			worker.Node.CheckEngineEnd(ctx, node.EngineRun{Engine: engine, RequestID: itemRun.Item.ID, Fingerprint: fingerprintOf(itemRun), Parts: worker.Node.Engines.PromptParts(header), Sent: sent, Events: events})
+			worker.Node.CheckEngineEnd(ctx, node.EngineRun{Engine: engine, RequestID: itemRun.Item.ID, Content: worker.contentOf(itemRun), Sent: sent, Events: events})
 		}
 	}()
 	exchange, err := worker.Node.Upstream.Send(ctx, upstream.Request{
@@ -54,7 +50,7 @@
 		Method:  http.MethodPost,
 		URI:     itemRun.Item.Path,
 		Host:    itemRun.Job.Host,
-		Header:  header,
+		Header:  headerOf(itemRun),
 		Body:    itemRun.Item.Body,
 		Attempt: port.Attempt{RequestID: itemRun.Item.ID, Engine: engine.ID, LastEventID: progress.LastEventID},
 	})
@@ -91,7 +87,26 @@
 		exchange.Discard()
 		return jobrunner.Interrupted, progress, errors.Errorf("status %d", status)
 	}
-	return worker.readEvents(exchange, idleTimer, itemRun, progress)
+	return worker.readEvents(engine, exchange, idleTimer, itemRun, progress)
+}
+
+// contentOf returns what engines read of an item.
+func (worker *Worker) contentOf(itemRun jobrunner.ItemRun) poisonpill.Content {
+	return poisonpill.Content{Request: fingerprintOf(itemRun), Parts: worker.partsOf(itemRun)}
+}
+
+// partsOf returns the parts of an item's prompt that other requests may have too.
+func (worker *Worker) partsOf(itemRun jobrunner.ItemRun) []poisonpill.Part {
+	return poisonpill.PartsOf(worker.Node.Engines.PromptParts(headerOf(itemRun)))
+}
+
+// headerOf returns the header with which the caller submitted an item.
+func headerOf(itemRun jobrunner.ItemRun) (header http.Header) {
+	header = http.Header{}
+	for name, value := range itemRun.Item.Header {
+		header.Set(name, value)
+	}
+	return header
 }
 
 // fingerprintOf returns the fingerprint of an item's request.
@@ -109,7 +124,7 @@
 }
 
 // readEvents appends the events of a response to progress until the response ends, and returns the extended progress.
-func (worker *Worker) readEvents(exchange *upstream.Exchange, idleTimer *time.Timer, itemRun jobrunner.ItemRun, progress jobrecord.Progress) (outcome jobrunner.Outcome, extended jobrecord.Progress, cause error) {
+func (worker *Worker) readEvents(engine fleet.Engine, exchange *upstream.Exchange, idleTimer *time.Timer, itemRun jobrunner.ItemRun, progress jobrecord.Progress) (outcome jobrunner.Outcome, extended jobrecord.Progress, cause error) {
 	events := upstream.NewEventReader(exchange.Response.Body)
 	outputAt, size := time.Now(), 0
 	for _, data := range progress.Data {
@@ -143,6 +158,9 @@
 		outputAt = time.Now()
 		progress.LastEventID = event.ID
 		progress.Data = append(progress.Data, data)
+		if len(progress.Data)-len(itemRun.Progress.Data) == node.SoundEvents {
+			worker.Node.RecordSound(engine, worker.partsOf(itemRun))
+		}
 		if time.Since(savedAt) >= checkpointInterval {
 			saved, savedAt = worker.saveProgress(itemRun, progress, saved), time.Now()
 		}
--- a/io/process/worker/trial.go
+++ b/io/process/worker/trial.go
@@ -9,6 +9,7 @@
 
 	"cowslipway/core/coordination/jobrunner"
 	"cowslipway/core/coordination/poisonpill"
+	"cowslipway/core/state/fleet"
 	"cowslipway/io/process/node"
 	"cowslipway/io/process/telemetry"
 	"cowslipway/io/store"
@@ -32,32 +33,33 @@
 
 // withhold keeps an item from running, or gives it up, if it is quarantined and has no trial. It reports whether it did.
 func (worker *Worker) withhold(ctx context.Context, now time.Time, itemRun jobrunner.ItemRun) (withheld bool) {
-	quarantine, ok := worker.Node.Quarantined(func() poisonpill.Fingerprint { return fingerprintOf(itemRun) })
-	if !ok {
-		if len(worker.trials) > 0 {
-			delete(worker.trials, fingerprintOf(itemRun)) // a later quarantine has trials of its own
-		}
-		return false
+	quarantines, _ := worker.Node.Quarantines(func() poisonpill.Content { return worker.contentOf(itemRun) }, fleet.Engine{})
+	if len(quarantines) == 0 && len(worker.trials) > 0 {
+		delete(worker.trials, fingerprintOf(itemRun)) // a later quarantine has trials of its own
 	}
-	fingerprint, until := fingerprintOf(itemRun), quarantine.Trial
-	if !now.Before(quarantine.Trial) {
-		if worker.mayTry(ctx, now, fingerprint, itemRun.Item.ID, quarantine) {
-			return false
+	for _, quarantine := range quarantines {
+		until := quarantine.Trial
+		if !now.Before(quarantine.Trial) {
+			if worker.mayTry(ctx, now, itemRun.Item.ID, quarantine) {
+				continue
+			}
+			until = now.Add(claimDelay)
 		}
-		until = now.Add(claimDelay)
-	}
-	abandoned := worker.runner.Withhold(now, itemRun, until)
-	if until.Equal(quarantine.Trial) || abandoned {
-		worker.Log.Info("item withheld", zap.String("job", itemRun.Job.ID), zap.String("request", itemRun.Item.ID), zap.Stringer("fingerprint", fingerprint),
-			zap.Int("ends", len(quarantine.Ends)), zap.Time("until", until), zap.Bool("abandoned", abandoned))
+		abandoned := worker.runner.Withhold(now, itemRun, until)
+		if until.Equal(quarantine.Trial) || abandoned {
+			worker.Log.Info("item withheld", zap.String("job", itemRun.Job.ID), zap.String("request", itemRun.Item.ID), zap.Stringer("fingerprint", quarantine.Fingerprint),
+				zap.String("part", quarantine.Part), zap.Int("ends", len(quarantine.Ends)), zap.Time("until", until), zap.Bool("abandoned", abandoned))
+		}
+		return true
 	}
-	return true
+	return false
 }
 
-// mayTry reports whether an item may run now as the trial after a number of engine ends. Until it has been claimed, mayTry
-// claims the trial in the background.
-func (worker *Worker) mayTry(ctx context.Context, now time.Time, fingerprint poisonpill.Fingerprint, item string, quarantine poisonpill.Quarantine) (allowed bool) {
-	known, ends := worker.trials[fingerprint], quarantine.TrialNumber
+// mayTry reports whether an item may run now as the next trial of a quarantine. Until it has been claimed, mayTry claims the trial in
+// the background.
+func (worker *Worker) mayTry(ctx context.Context, now time.Time, item string, quarantine poisonpill.Quarantine) (allowed bool) {
+	fingerprint, ends := quarantine.Fingerprint, quarantine.TrialNumber
+	known := worker.trials[fingerprint]
 	if known != nil && known.ends == ends && (known.retryAt.IsZero() || now.Before(known.retryAt)) {
 		return known.item == item && !known.from.IsZero() && !now.Before(known.from)
 	}
@@ -86,18 +88,33 @@
 			default:
 				claim.retryAt = time.Now()
 			}
-			worker.Log.Info("trial claimed", zap.String("request", item), zap.Stringer("fingerprint", fingerprint), zap.Int("ends", ends), telemetry.Err(err))
+			worker.Log.Info("trial claimed", zap.String("request", item), zap.Stringer("fingerprint", fingerprint), zap.String("part", quarantine.Part), zap.Int("ends", ends), telemetry.Err(err))
 		}
 	}()
 	return false
 }
 
-// beginTrial records that a run begins, which is the trial of its item if the item has one.
-func (worker *Worker) beginTrial(itemRun jobrunner.ItemRun) {
+// trialsOf returns the latest trials that an item was to run as.
+func (worker *Worker) trialsOf(itemRun jobrunner.ItemRun) (trials []*trial) {
 	if len(worker.trials) == 0 {
-		return
+		return nil
+	}
+	content := worker.contentOf(itemRun)
+	fingerprints := []poisonpill.Fingerprint{content.Request}
+	for _, part := range content.Parts {
+		fingerprints = append(fingerprints, part.Fingerprint)
+	}
+	for _, fingerprint := range fingerprints {
+		if known := worker.trials[fingerprint]; known != nil && known.item == itemRun.Item.ID {
+			trials = append(trials, known)
+		}
 	}
-	if known := worker.trials[fingerprintOf(itemRun)]; known != nil && known.item == itemRun.Item.ID {
+	return trials
+}
+
+// beginTrial records that a run begins, which is a trial if its item has one.
+func (worker *Worker) beginTrial(itemRun jobrunner.ItemRun) {
+	for _, known := range worker.trialsOf(itemRun) {
 		known.from = time.Time{}
 	}
 }
@@ -105,19 +122,17 @@
 // returnTrial lets the item of a trial run again at once if no engine ran it. A trial that reached an engine and neither
 // completed nor ended it, as far as is known by then, counts as spent, and the next one may be claimed later.
 func (worker *Worker) returnTrial(run *activeRun, outcome jobrunner.Outcome) {
-	if len(worker.trials) == 0 {
-		return
-	}
-	known := worker.trials[fingerprintOf(run.itemRun)]
-	if known == nil || !known.claimed || known.item != run.itemRun.Item.ID {
-		return
-	}
-	switch outcome {
-	case jobrunner.NotExecuted, jobrunner.Preempted:
-		known.from = time.Now()
-	case jobrunner.Interrupted, jobrunner.Errored:
-		known.spent++
-		known.retryAt = time.Now().Add(node.TrialLifetime)
-	case jobrunner.Finished, jobrunner.Invalid: // the item has its result
+	for _, known := range worker.trialsOf(run.itemRun) {
+		if !known.claimed {
+			continue
+		}
+		switch outcome {
+		case jobrunner.NotExecuted, jobrunner.Preempted:
+			known.from = time.Now()
+		case jobrunner.Interrupted, jobrunner.Errored:
+			known.spent++
+			known.retryAt = time.Now().Add(node.TrialLifetime)
+		case jobrunner.Finished, jobrunner.Invalid: // the item has its result
+		}
 	}
 }
--- a/io/process/worker/worker.go
+++ b/io/process/worker/worker.go
@@ -360,6 +360,7 @@
 		worker.Node.RecordSuccess(run.engine)
 		if outcome == jobrunner.Finished { // an engine may reject an item without having begun it
 			worker.Node.RecordCompletion(func() poisonpill.Fingerprint { return fingerprintOf(run.itemRun) })
+			worker.Node.RecordSound(run.engine, worker.partsOf(run.itemRun))
 		}
 	case jobrunner.Interrupted:
 		if !run.dropped {
