upstream, ingress, worker: a response without framing does not hide the end of its engine

Callers saw part of a response as the whole one, and requests that end engines went on after any number of ends: a response that has neither a length nor chunks ends with its connection, and an engine that ends closes its connections too. A run that ended its engine so was logged as served, and completion clears a request.

Cause: the end of the connection was taken for the end of the body, whatever else it was the end of. After a response without framing the ingress and the worker now connect to the engine, and keep the connection for the next request. If the engine refuses it, and neither its record nor a response has said that it leaves, the response is broken off. A stream of this kind that ends before its first event is broken off as well.

--- a/io/process/ingress/online.go
+++ b/io/process/ingress/online.go
@@ -44,6 +44,8 @@
 	// trialRetryAfter covers the claim of a trial and the run of most requests.
 	trialRetryAfter = time.Second
 	copyBufferBytes = 16 << 10
+	// soundEvents is the number of events from which on a run counts as one that did not end its engine.
+	soundEvents = node.SoundEvents
 	// bufferedBodyBytes is how much of a response that is not a stream is read before its header is forwarded, so that
 	// another engine can still be tried when the connection breaks.
 	bufferedBodyBytes = 64 << 10
@@ -269,10 +271,6 @@
 			online.attempts-- // the request was not sent in this attempt
 		}
 		if result == served || result == failureForwarded {
-			if result == served {
-				online.server.Node.RecordCompletion(online.fingerprint)
-				online.server.Node.RecordSound(decision.Engine, online.parts())
-			}
 			online.recordOutcome(result.String())
 			return
 		}
@@ -467,10 +465,10 @@
 	}
 	if online.route.Kind == routes.Stream && status == http.StatusOK && isEvents(exchange.Response) {
 		online.streaming = true
-		err = online.forwardEvents(engine, exchange, watchdog)
+		err = online.forwardEvents(ctx, engine, exchange, watchdog)
 	} else {
 		watchdog.stop()
-		err = online.forwardBody(exchange)
+		err = online.forwardBody(ctx, engine, exchange)
 	}
 	if err != nil {
 		online.reportFailure(ctx, engine)
@@ -482,6 +480,10 @@
 	if status >= http.StatusBadRequest {
 		return failureForwarded, nil
 	}
+	if exchange.Framed() || online.events-eventsBefore >= soundEvents {
+		node.RecordCompletion(online.fingerprint)
+		node.RecordSound(engine, online.parts())
+	}
 	return served, nil
 }
 
@@ -596,16 +598,21 @@
 
 // forwardEvents forwards whole events as they arrive. It fails where the order of event IDs shows that the stream repeats
 // an event.
-func (online *onlineRequest) forwardEvents(engine fleet.Engine, exchange *upstream.Exchange, watchdog *watchdog) (err error) {
+func (online *onlineRequest) forwardEvents(ctx context.Context, engine fleet.Engine, exchange *upstream.Exchange, watchdog *watchdog) (err error) {
 	defer func() { err = errors.Annotate(err, "forwarding a stream") }()
 	events := upstream.NewEventReader(exchange.Response.Body)
 	flusher := http.NewResponseController(online.writer)
 	received := 0 // in this attempt
 	for {
 		event, err := events.Next()
+		if errors.Is(err, io.EOF) && received == 0 && online.lastEventID == "" && !exchange.Framed() {
+			return errors.New("the connection ended before the first event")
+		}
 		if errors.Is(err, io.EOF) {
-			online.sendHeader(exchange.Response)
-			return nil
+			if err = online.checkEnd(ctx, engine, exchange); err == nil {
+				online.sendHeader(exchange.Response)
+			}
+			return err
 		}
 		if err != nil {
 			return err
@@ -619,7 +626,7 @@
 			online.firstEventAt = time.Now()
 		}
 		online.events++
-		if received++; received == node.SoundEvents {
+		if received++; received == soundEvents {
 			online.server.Node.RecordSound(engine, online.parts())
 		}
 		online.sendHeader(exchange.Response)
@@ -650,18 +657,34 @@
 }
 
 // forwardBody forwards a response that is not a stream of events.
-func (online *onlineRequest) forwardBody(exchange *upstream.Exchange) (err error) {
+func (online *onlineRequest) forwardBody(ctx context.Context, engine fleet.Engine, exchange *upstream.Exchange) (err error) {
 	defer func() { err = errors.Annotate(err, "forwarding a body") }()
 	start, err := io.ReadAll(io.LimitReader(exchange.Response.Body, bufferedBodyBytes))
 	if err != nil {
 		return err
 	}
+	whole := len(start) < bufferedBodyBytes
+	if whole {
+		if err = online.checkEnd(ctx, engine, exchange); err != nil {
+			return err
+		}
+	}
 	online.sendHeader(exchange.Response)
-	if _, err = online.writer.Write(start); err != nil {
+	if _, err = online.writer.Write(start); err != nil || whole {
+		return err
+	}
+	if _, err = io.CopyBuffer(online.writer, exchange.Response.Body, make([]byte, copyBufferBytes)); err != nil {
 		return err
 	}
-	_, err = io.CopyBuffer(online.writer, exchange.Response.Body, make([]byte, copyBufferBytes))
-	return err
+	return online.checkEnd(ctx, engine, exchange)
+}
+
+// checkEnd returns an error if the body of a response, which has been read to its end, ended with its engine.
+func (online *onlineRequest) checkEnd(ctx context.Context, engine fleet.Engine, exchange *upstream.Exchange) (err error) {
+	if exchange.Framed() {
+		return nil
+	}
+	return online.server.Node.CheckUnframedEnd(ctx, engine)
 }
 
 // recordOutcome records in the metrics how the request ended.
--- a/io/process/node/engine_end.go
+++ b/io/process/node/engine_end.go
@@ -82,6 +82,18 @@
 	})
 }
 
+// CheckUnframedEnd returns an error if the end of a response without framing is that of its engine, so that the response is not
+// complete: the engine refuses connections, and nothing has announced that it leaves.
+func (node *Node) CheckUnframedEnd(ctx context.Context, engine fleet.Engine) (err error) {
+	if node.leaves(engine) {
+		return nil
+	}
+	if err = node.Upstream.Dial(ctx, engine.Address); errors.Is(err, syscall.ECONNREFUSED) {
+		return errors.Annotate(err, "the response ended with its engine")
+	}
+	return nil
+}
+
 // engineListed counts runs that the engine at the address of listed broke off lately, if listed is a later incarnation. One that
 // had started before the run was sent ran the request itself, and this process has merely learned of it late.
 func (quarantine *quarantine) engineListed(listed fleet.Engine) {
--- a/io/process/worker/item.go
+++ b/io/process/worker/item.go
@@ -37,12 +37,12 @@
 	defer cancel()
 	idleTimer := time.AfterFunc(idleTimeout, cancel)
 	defer idleTimer.Stop()
-	sent := time.Now()
+	run := node.EngineRun{Engine: engine, RequestID: itemRun.Item.ID, Content: worker.contentOf(itemRun), Sent: time.Now()}
 	defer func() {
 		brokenOff := outcome == jobrunner.Interrupted && ctx.Err() == nil // by the engine
-		events := len(progress.Data) - len(itemRun.Progress.Data)
+		run.Events = len(progress.Data) - len(itemRun.Progress.Data)
 		if brokenOff {
-			worker.Node.CheckEngineEnd(ctx, node.EngineRun{Engine: engine, RequestID: itemRun.Item.ID, Content: worker.contentOf(itemRun), Sent: sent, Events: events})
+			worker.Node.CheckEngineEnd(ctx, run)
 		}
 	}()
 	exchange, err := worker.Node.Upstream.Send(ctx, upstream.Request{
@@ -87,17 +87,26 @@
 		exchange.Discard()
 		return jobrunner.Interrupted, progress, errors.Errorf("status %d", status)
 	}
-	return worker.readEvents(engine, exchange, idleTimer, itemRun, progress)
+	outcome, progress, cause = worker.readEvents(engine, exchange, idleTimer, itemRun, progress)
+	if outcome != jobrunner.Finished {
+		return outcome, progress, cause
+	}
+	run.Events = len(progress.Data) - len(itemRun.Progress.Data)
+	if !exchange.Framed() {
+		if cause = worker.Node.CheckUnframedEnd(ctx, engine); cause != nil {
+			return jobrunner.Interrupted, progress, cause
+		}
+	}
+	if exchange.Framed() || run.Events >= node.SoundEvents {
+		worker.Node.RecordCompletion(func() poisonpill.Fingerprint { return run.Content.Request })
+		worker.Node.RecordSound(engine, run.Content.Parts)
+	}
+	return outcome, progress, nil
 }
 
 // contentOf returns what engines read of an item.
 func (worker *Worker) contentOf(itemRun jobrunner.ItemRun) poisonpill.Content {
-	return poisonpill.Content{Request: fingerprintOf(itemRun), Parts: worker.partsOf(itemRun)}
-}
-
-// partsOf returns the parts of an item's prompt that other requests may have too.
-func (worker *Worker) partsOf(itemRun jobrunner.ItemRun) []poisonpill.Part {
-	return poisonpill.PartsOf(worker.Node.Engines.PromptParts(headerOf(itemRun)))
+	return poisonpill.Content{Request: fingerprintOf(itemRun), Parts: poisonpill.PartsOf(worker.Node.Engines.PromptParts(headerOf(itemRun)))}
 }
 
 // headerOf returns the header with which the caller submitted an item.
@@ -133,6 +142,9 @@
 	saved, savedAt := 0, time.Now() // the first checkpoint of a run holds all events, so that files rotated away are not needed
 	for {
 		event, err := events.Next()
+		if errors.Is(err, io.EOF) && progress.LastEventID == "" && !exchange.Framed() {
+			return jobrunner.Interrupted, progress, errors.New("the connection ended before the first event")
+		}
 		if errors.Is(err, io.EOF) {
 			exchange.Release()
 			return jobrunner.Finished, progress, nil
@@ -159,7 +171,7 @@
 		progress.LastEventID = event.ID
 		progress.Data = append(progress.Data, data)
 		if len(progress.Data)-len(itemRun.Progress.Data) == node.SoundEvents {
-			worker.Node.RecordSound(engine, worker.partsOf(itemRun))
+			worker.Node.RecordSound(engine, worker.contentOf(itemRun).Parts)
 		}
 		if time.Since(savedAt) >= checkpointInterval {
 			saved, savedAt = worker.saveProgress(itemRun, progress, saved), time.Now()
--- a/io/process/worker/worker.go
+++ b/io/process/worker/worker.go
@@ -358,10 +358,6 @@
 	switch outcome {
 	case jobrunner.Finished, jobrunner.Invalid, jobrunner.Errored:
 		worker.Node.RecordSuccess(run.engine)
-		if outcome == jobrunner.Finished { // an engine may reject an item without having begun it
-			worker.Node.RecordCompletion(func() poisonpill.Fingerprint { return fingerprintOf(run.itemRun) })
-			worker.Node.RecordSound(run.engine, worker.partsOf(run.itemRun))
-		}
 	case jobrunner.Interrupted:
 		if !run.dropped {
 			worker.Node.RecordFailure(run.engine)
--- a/io/transport/upstream/pool.go
+++ b/io/transport/upstream/pool.go
@@ -335,6 +335,12 @@
 	exchange.connection.reset()
 }
 
+// Framed reports whether the response says where its body ends, by a length or by chunks. Otherwise the body ends with the connection,
+// also if the engine ends meanwhile.
+func (exchange *Exchange) Framed() bool {
+	return exchange.Response.ContentLength >= 0 || slices.Contains(exchange.Response.TransferEncoding, "chunked")
+}
+
 // Release returns the connection to the pool for reuse. The caller must have read the body to its end. If the connection cannot
 // be reused, Release aborts the exchange.
 func (exchange *Exchange) Release() {
@@ -347,7 +353,7 @@
 		sent = err == nil
 	default:
 	}
-	closing := exchange.Response.Close || exchange.Response.ContentLength < 0 && !slices.Contains(exchange.Response.TransferEncoding, "chunked")
+	closing := exchange.Response.Close || !exchange.Framed()
 	if !sent || !exchange.stopCloseOnDone() {
 		exchange.Abort()
 		return
