poisonpill: suspects that were beside each other at all ends are tried at once

Cause: suspects with the same ends look the same, and the ledger took each of them for proven. Where another request or part, which does not belong to the same request, was at each of the ends too, a trial is now due at once: it clears the innocent one. A request in which several parts are quarantined is no trial of any of them while requests come that have only one, since its failure would tell nothing.

--- a/core/coordination/poisonpill/ledger.go
+++ b/core/coordination/poisonpill/ledger.go
@@ -23,6 +23,11 @@
 	// requests beside it.
 	partTrialDelay  = 2 * time.Second
 	partTrialFactor = 8
+	// maxCommonEnds is the number of ends up to which a request or part may have been beside the cause each time by chance.
+	maxCommonEnds = 6
+	// aloneLifetime is how long a request with several quarantined parts is no trial of a part after a request came that has only that one.
+	aloneLifetime = 10 * time.Second
+	maxAlone      = 256 // parts for which that is known
 	// verdictLifetime is how long a verdict holds without new ends; it only delays the expiry of ends.
 	verdictLifetime = time.Second
 	// maxTrials bounds the trials of a request, each of which may end an engine.
@@ -92,6 +97,8 @@
 	sound    soundParts
 	// ended holds the requests and parts under which an engine ended, by its ID and the time.
 	ended map[moment]map[Fingerprint]bool
+	// alone holds when a request came in which a quarantined part was the only one.
+	alone *simplelru.LRU[Fingerprint, time.Time]
 	// verdicts caches the results of Quarantine until the next change, since a caller may repeat a refused request many times a second.
 	verdicts map[Fingerprint]verdict
 }
@@ -126,6 +133,7 @@
 		ledger.requests, _ = simplelru.NewLRU(max(ledger.MaxRequests, 1), func(fingerprint Fingerprint, forgotten record) {
 			ledger.unindex(fingerprint, forgotten.ends)
 		})
+		ledger.alone, _ = simplelru.NewLRU[Fingerprint, time.Time](maxAlone, nil)
 		ledger.ended, ledger.verdicts = map[moment]map[Fingerprint]bool{}, map[Fingerprint]verdict{}
 	}
 }
@@ -255,25 +263,61 @@
 	return reported, len(ledger.counting(fingerprint, now))
 }
 
-// Quarantines returns the quarantines that apply to a request at engines of a build; with an empty build, those that apply at any. explained
-// reports whether the request also has a part that is not quarantined only since others explain its ends: if the request failed as a
-// trial of those, that would tell nothing.
-func (ledger *Ledger) Quarantines(now time.Time, content Content, build string) (found []Quarantine, explained bool) {
+// Quarantines returns the quarantines that apply to a request at engines of a build; with an empty build, those that apply at any. ambiguous
+// reports whether the request is no trial of them, as another of its parts may be the cause as well: one of which others explain the
+// ends, or one that is quarantined too while requests without it come.
+func (ledger *Ledger) Quarantines(now time.Time, content Content, build string) (found []Quarantine, ambiguous bool) {
 	ledger.init()
 	if quarantine, ok := ledger.Quarantine(now, content.Request); ok {
 		found = append(found, quarantine)
 	}
+	var parts []Fingerprint // that are quarantined
 	for _, part := range content.Parts {
 		if ledger.Sound(now, part.Fingerprint, build) {
 			continue
 		}
 		if quarantine, ok := ledger.Quarantine(now, part.Fingerprint); ok {
-			found = append(found, quarantine)
+			found, parts = append(found, quarantine), append(parts, part.Fingerprint)
 		} else if known, _ := ledger.requests.Peek(part.Fingerprint); len(distinctEnds(known.ends, now)) >= quarantineEnds {
-			explained = true
+			ambiguous = true
 		}
 	}
-	return found, explained
+	if len(parts) == 1 && !ambiguous {
+		ledger.alone.Add(parts[0], now)
+	}
+	for _, part := range parts {
+		if at, ok := ledger.alone.Peek(part); ok && len(parts) > 1 && now.Sub(at) < aloneLifetime {
+			ambiguous = true
+		}
+	}
+	for index := range found {
+		if quarantine := &found[index]; !quarantine.Unproven && ledger.otherwiseExplained(now, *quarantine, content) {
+			quarantine.Unproven = true
+			if quarantine.Trials > 0 {
+				quarantine.Trial = quarantine.Ends[len(quarantine.Ends)-1].Ended
+			}
+		}
+	}
+	return found, ambiguous
+}
+
+// otherwiseExplained reports whether a request or part that does not belong to a request was at the engine at each of the ends of a
+// quarantine, and has no fewer ends: one of the two may only have been beside the other.
+func (ledger *Ledger) otherwiseExplained(now time.Time, quarantine Quarantine, content Content) bool {
+	if len(quarantine.Ends) > maxCommonEnds {
+		return false
+	}
+	for other := range ledger.present(quarantine.Ends[0]) {
+		own := other == quarantine.Fingerprint || other == content.Request || slices.ContainsFunc(content.Parts, func(part Part) bool { return part.Fingerprint == other })
+		known, _ := ledger.requests.Peek(other)
+		if own || len(distinctEnds(known.ends, now)) < len(quarantine.Ends) {
+			continue
+		}
+		if !slices.ContainsFunc(quarantine.Ends, func(end EngineEnd) bool { return !slices.ContainsFunc(known.ends, end.coincides) }) {
+			return true
+		}
+	}
+	return false
 }
 
 // Quarantine returns the quarantine of a request or part; ok reports whether it is quarantined.
--- a/core/coordination/poisonpill/ledger_test.go
+++ b/core/coordination/poisonpill/ledger_test.go
@@ -52,11 +52,11 @@
 				fmt.Fprintf(&out, "removed: %d\n", len(ledger.Clear(clearance)))
 			case "request": // request REQUEST BUILD PART ...: the quarantines that apply to it at a build; the build "any" is that of no engine
 				build := strings.TrimPrefix(words[2], "any")
-				quarantines, explained := ledger.Quarantines(now, Content{Request: fingerprint(words[1]), Parts: PartsOf(words[3:])}, build)
+				quarantines, ambiguous := ledger.Quarantines(now, Content{Request: fingerprint(words[1]), Parts: PartsOf(words[3:])}, build)
 				for _, quarantine := range quarantines {
 					fmt.Fprintf(&out, "%s: %d ends, %d trials from %s, due %v, unproven %v\n", cmp.Or(quarantine.Part, "request"), len(quarantine.Ends), quarantine.Trials, quarantine.Trial.Sub(start), quarantine.Due(now), quarantine.Unproven)
 				}
-				fmt.Fprintf(&out, "quarantines: %d, explained %v\n", len(quarantines), explained)
+				fmt.Fprintf(&out, "quarantines: %d, ambiguous %v\n", len(quarantines), ambiguous)
 			case "ends": // ends REQUEST ENGINE COUNT: one a second
 				var count, added int
 				if _, err := fmt.Sscan(words[3], &count); err != nil {
--- a/io/process/ingress/online.go
+++ b/io/process/ingress/online.go
@@ -336,9 +336,9 @@
 // quarantined returns a quarantine that keeps the request from running at engine, or at any engine if that is the zero value. ok is
 // false if there is none, or if the request may run as the trial of all that there are.
 func (online *onlineRequest) quarantined(ctx context.Context, engine fleet.Engine) (quarantine poisonpill.Quarantine, ok bool) {
-	quarantines, explained := online.server.Node.Quarantines(online.content, engine)
+	quarantines, ambiguous := online.server.Node.Quarantines(online.content, engine)
 	for _, quarantine := range quarantines {
-		if explained || !online.mayTry(ctx, quarantine) {
+		if ambiguous || !online.mayTry(ctx, quarantine) {
 			return quarantine, true
 		}
 	}
--- a/io/process/node/quarantine.go
+++ b/io/process/node/quarantine.go
@@ -135,8 +135,8 @@
 }
 
 // Quarantines returns the quarantines that apply to a request at engine, or at any engine if that is the zero value. content is
-// called only if engines have ended under any request. explained is as [poisonpill.Ledger.Quarantines] returns it.
-func (node *Node) Quarantines(content func() poisonpill.Content, engine fleet.Engine) (found []poisonpill.Quarantine, explained bool) {
+// called only if engines have ended under any request. ambiguous is as [poisonpill.Ledger.Quarantines] returns it.
+func (node *Node) Quarantines(content func() poisonpill.Content, engine fleet.Engine) (found []poisonpill.Quarantine, ambiguous bool) {
 	quarantine := &node.quarantine
 	if quarantine.suspects.Load() == 0 {
 		return nil, false
