placement, node: an engine gets no more requests than it says it takes

Cause: the field was read nowhere. The class of fault: what a peer says of itself is dropped at the boundary.

A rate that holds for all processes together can't be divided among them: with twenty processes an equal share is a request every ten seconds, and its first token at once is too much already. Each limited engine therefore has an owner among the members, the first by the order in which they also take slots, and a process sends it a request only with a token from the owner's bucket. Tokens are asked for ahead, as many as requests arrived lately, for engines with room, so that no request waits for a call; they hold for a second, and an owner that does not respond costs the engine's share, not the bound. At most three tokens are saved for bursts, and batch items leave those to online requests. Members tell the owner what they know, with its age; a response lifts a limit only if its request was sent after the limit was named, since responses overtake each other. An engine with a limit near zero gets a request every 4 s, as only its responses tell that the limit has changed. Requests that no engine takes in time are refused at once, as before.

engine_limits_requests: 34 and 36 requests within 4 s at engines with limits of 2 and 1.5 a second before, where 17 and 14 are allowed; within the bound now, and all 540 requests are served by the third engine. TestLimitedEnginesUnderLoad simulates fleets of 3 to 48 processes.

--- a/core/coordination/placement/placement.go
+++ b/core/coordination/placement/placement.go
@@ -77,6 +77,7 @@
 
 	// Inputs of the decision, for the log.
 	Candidates int // engines that could have been chosen
+	Limited    int // engines with room that could not be chosen because of their limits
 	Load       int // known load of the chosen engine before this request
 	Waiting    int // requests in the queue of this process
 }
@@ -167,6 +168,9 @@
 	peerCounts       map[string][]Counts  // latest load counts by peer
 	backlogPeers     map[string]bool      // peers with a batch backlog
 	processHashes    map[string]uint64    // hashes of member IDs, for slotPriority
+	limits           map[uint64]*limited  // what engines said of their limits, by digest; kept while the store does not list them
+	buckets          map[uint64]*bucket   // of the engines whose limits this process owns, by digest
+	demands          map[string]*demand   // by service
 	leaving          map[uint64]time.Time // when engines said that they leave, by digest; kept while the store does not list them
 	queue            []waiter             // waiting online requests, by deadline
 	lastTicket       int
@@ -332,16 +336,18 @@
 // AcquireOnline places an online request: at an engine with a free slot, else at one where it preempts a batch item,
 // else in the queue. The request is rejected if no engine can run it or if it would wait beyond its deadline.
 func (pool *Pool) AcquireOnline(now time.Time, request Request) (decision Decision) {
+	pool.countDemand(now, request.Service)
 	decision, ok := pool.acquireSlot(now, request)
 	if ok {
 		return decision
 	}
+	decision.Limited = pool.limitedCandidates(now, request)
 	if decision.Candidates == 0 {
 		return Decision{RetryAfter: maxRetryAfter, Reason: "no engine", Waiting: len(pool.queue)}
 	}
 	wait := pool.EstimateWait(now)
 	if now.Add(wait).After(request.Deadline) {
-		return Decision{RetryAfter: retryAfter(wait), Reason: "queue drains too late", Candidates: decision.Candidates, Waiting: len(pool.queue)}
+		return Decision{RetryAfter: retryAfter(wait), Reason: "queue drains too late", Candidates: decision.Candidates, Limited: decision.Limited, Waiting: len(pool.queue)}
 	}
 	pool.lastTicket++
 	pool.queue = append(pool.queue, waiter{ticket: pool.lastTicket, request: request})
@@ -352,9 +358,9 @@
 // acquireSlot takes a slot for an online request: a free one, else one of a batch item to be preempted. It uses suspected
 // engines only if no healthy one has a free or preemptible slot, and ejected engines only if there are no others.
 func (pool *Pool) acquireSlot(now time.Time, request Request) (decision Decision, ok bool) {
-	free := func(engine *engine) bool { return engine.load(now) < engine.Slots }
-	preemptible := func(engine *engine) bool { return engine.onlineLoad(now) < engine.Slots }
-	load := func(engine *engine) int { return engine.load(now) }
+	free := func(engine *engine) bool { return engine.load(now) < engine.Slots && pool.hasToken(now, engine) }
+	preemptible := func(engine *engine) bool { return engine.onlineLoad(now) < engine.Slots && pool.hasToken(now, engine) }
+	load := func(engine *engine) int { return engine.load(now) + pool.reluctance(engine) }
 	onlineLoad := func(engine *engine) int { return engine.onlineLoad(now) }
 	decision.Waiting = len(pool.queue)
 	for _, health := range []health{healthy, suspected, ejected} {
@@ -376,6 +382,7 @@
 		}
 		decision.Engine, decision.Admitted, decision.Load = chosen.Engine, true, chosen.load(now)
 		decision.Urgent = decision.Load >= chosen.Slots || chosen.peerBatch > 0 && decision.Load+1 >= chosen.Slots
+		pool.takeToken(now, chosen)
 		chosen.localOnline++
 		pool.changed[chosen.digest] = chosen
 		return decision, true
@@ -427,13 +434,14 @@
 		return chosen, false
 	}
 	hasRoom := func(engine *engine) bool {
-		return pool.mayStartBatch(now, engine) && now.Sub(engine.overloadedAt) >= batchCooldown
+		return pool.mayStartBatch(now, engine) && now.Sub(engine.overloadedAt) >= batchCooldown && pool.hasToken(now, engine)
 	}
 	load := func(engine *engine) int { return engine.load(now) }
 	leastLoaded, _ := pool.pick(now, request, healthy, len(pool.engines), hasRoom, load)
 	if leastLoaded == nil {
 		return chosen, false
 	}
+	pool.takeToken(now, leastLoaded)
 	leastLoaded.batchStarts = leastLoaded.recentBatchStarts(now) + 1
 	leastLoaded.lastBatchStart = now
 	leastLoaded.localBatch++
@@ -578,7 +586,7 @@
 		case ok:
 			grants = append(grants, Grant{Ticket: waiter.ticket, Decision: decision})
 		case now.After(waiter.request.Deadline):
-			decision = Decision{RetryAfter: retryAfter(pool.EstimateWait(now)), Reason: "no slot in time", Candidates: decision.Candidates, Waiting: len(pool.queue)}
+			decision = Decision{RetryAfter: retryAfter(pool.EstimateWait(now)), Reason: "no slot in time", Candidates: decision.Candidates, Limited: pool.limitedCandidates(now, waiter.request), Waiting: len(pool.queue)}
 			grants = append(grants, Grant{Ticket: waiter.ticket, Decision: decision})
 		default:
 			kept = append(kept, waiter)
--- a/io/port/port.go
+++ b/io/port/port.go
@@ -86,7 +86,11 @@
 	WrongEngine bool // another engine than the addressed one responded
 	Leaving     bool // the engine is about to end and takes no further requests
 	Load        Load
-	HasLoad     bool // Load is set
+	HasLoad     bool    // Load is set
+	Limit       float64 // requests per second that the engine takes from all processes together
+	HasLimit    bool    // Limit is set; a response without one says that there is none
+	// LimitUnreadable is set if the response has a limit that can't be read, so that it says nothing about it.
+	LimitUnreadable bool
 }
 
 // Callers decodes callers' requests and encodes the responses to them.
--- a/io/process/ingress/online.go
+++ b/io/process/ingress/online.go
@@ -328,7 +328,7 @@
 func (online *onlineRequest) decisionFields(decision placement.Decision, waited time.Duration) []zap.Field {
 	return []zap.Field{
 		zap.String("software", decision.Engine.SoftwareVersion), zap.String("begun_by", online.call.BegunBy),
-		zap.Bool("urgent", decision.Urgent), zap.Int("load", decision.Load), zap.Int("candidates", decision.Candidates),
+		zap.Bool("urgent", decision.Urgent), zap.Int("load", decision.Load), zap.Int("candidates", decision.Candidates), zap.Int("limited", decision.Limited),
 		zap.Int("waiting", decision.Waiting), zap.Duration("waited", waited), zap.Duration("view_age", online.server.Node.ViewAge()),
 	}
 }
@@ -443,7 +443,7 @@
 	}
 	defer exchange.Abort()
 	status := exchange.Response.StatusCode
-	engineFull := node.RecordResponseLoad(engine, exchange.Head, exchange.Head.NotExecuted)
+	engineFull := node.RecordResponseHead(engine, sent, exchange.Head, exchange.Head.NotExecuted)
 	switch {
 	case exchange.Head.NotExecuted:
 		exchange.Discard()
--- a/io/process/node/placement.go
+++ b/io/process/node/placement.go
@@ -97,6 +97,7 @@
 			preemptions := node.pool.Preemptions(now)
 			node.placementMutex.Unlock()
 			node.preempt(preemptions)
+			node.acquireTokens(now)
 			node.broadcastCounts(now)
 		}
 	}
@@ -241,11 +242,14 @@
 	}
 }
 
-// RecordResponseLoad records what the head of a response says of its engine: that it leaves, and its load, if the head has them.
-// rejected reports whether the engine rejected the request and so does not count it in this load. The result reports whether all
+// RecordResponseHead records what the head of the response to a request that was sent at a time says of its engine: that it leaves, its
+// limit, and its load, if the head has them. rejected reports whether the engine rejected the request and so does not count it in this load. The result reports whether all
 // slots of the engine are in use.
-func (node *Node) RecordResponseLoad(engine fleet.Engine, head port.ResponseHead, rejected bool) (full bool) {
+func (node *Node) RecordResponseHead(engine fleet.Engine, sent time.Time, head port.ResponseHead, rejected bool) (full bool) {
 	now := time.Now()
+	if !head.WrongEngine {
+		node.recordLimit(now, sent, engine, head)
+	}
 	if head.Leaving && !head.WrongEngine {
 		node.recordLeaving(now, engine)
 	}
--- a/io/process/node/suspicion_sharing.go
+++ b/io/process/node/suspicion_sharing.go
@@ -29,11 +29,14 @@
 	trials []trial // only read from the store
 }
 
-// serveCall serves a call of a peer: it merges suspicions, keeps and finds streams, and passes on calls to the store.
+// serveCall serves a call of a peer: it merges suspicions, keeps and finds streams, grants tokens, and passes on calls to the store.
 func (node *Node) serveCall(ctx context.Context, request []byte) (response []byte) {
 	if data, ok := bytes.CutPrefix(request, []byte(streamsCall)); ok {
 		return node.streams.serve(data)
 	}
+	if data, ok := bytes.CutPrefix(request, []byte(limitCall)); ok {
+		return node.serveLimitAsk(data)
+	}
 	data, ok := bytes.CutPrefix(request, []byte(suspicionCall))
 	if !ok {
 		return node.relay.Serve(ctx, request)
--- a/io/process/worker/item.go
+++ b/io/process/worker/item.go
@@ -65,7 +65,7 @@
 	}
 	defer exchange.Abort()
 	status := exchange.Response.StatusCode
-	engineFull := worker.Node.RecordResponseLoad(engine, exchange.Head, exchange.Head.NotExecuted)
+	engineFull := worker.Node.RecordResponseHead(engine, run.Sent, exchange.Head, exchange.Head.NotExecuted)
 	switch {
 	case exchange.Head.NotExecuted:
 		exchange.Discard()
