poisonpill, worker: an item under which engines ended is owed

During a burst of crashes, six engines ended while they ran the same sound item. Afterwards all was calm and there was room, but the item was not placed for nine and a half minutes, or was given up when its job's time was over. Cause: the limit of three trials is for requests that callers repeat; an item comes once and was subject to it as well.

A batch item now has a trial 15 s after each end, without limit. Two other ways to lose it are closed. A trial that was claimed and not used, since its job ended while it waited for a slot, kept all equal items of other jobs from running; it may be used by another one after 15 s. A trial that was claimed three times without an outcome, as its process was lost each time, no longer blocks the ones after it, for online requests neither.

--- a/core/coordination/poisonpill/ledger.go
+++ b/core/coordination/poisonpill/ledger.go
@@ -58,10 +58,13 @@
 
 	Ends  []EngineEnd // one for each engine that ended, in the order in which they happened
 	Until time.Time   // end of the quarantine, if no other engine ends: fewer than quarantineEnds count from then on
-	// Trial is the time from which the request may run once more, as one process decides for all; it equals Until if there are
+	// Trial is the time from which an online request may run once more, as one process decides for all; it equals Until if there are
 	// no trials left.
-	Trial       time.Time
-	Trials      int // trials left
+	Trial time.Time
+	// ItemTrial is the time from which a batch item may run once more. Its trials do not run out: it comes once, is owed, and each of
+	// its ends may have had another cause.
+	ItemTrial   time.Time
+	Trials      int // trials left of online requests
 	TrialNumber int // of the next trial: quarantineEnds, and one more for each trial that ended an engine
 	// Unproven is set while fewer than quarantineEnds of the ends happened one after another. An outage that ends several engines
 	// at once looks the same to a request with a copy at each, so the next trial, which is due at once, may be any copy. It is also set
@@ -295,6 +298,7 @@
 			quarantine.Unproven = true
 			if quarantine.Trials > 0 {
 				quarantine.Trial = quarantine.Ends[len(quarantine.Ends)-1].Ended
+				quarantine.ItemTrial = quarantine.Trial
 			}
 		}
 	}
@@ -362,6 +366,10 @@
 		}
 		quarantine.Trial = quarantine.Ends[count-1].Ended.Add(delay)
 	}
+	quarantine.ItemTrial = quarantine.Ends[count-1].Ended.Add(trialDelay)
+	if quarantine.Trial.Before(quarantine.ItemTrial) {
+		quarantine.ItemTrial = quarantine.Trial
+	}
 	return quarantine, true
 }
 
--- a/core/coordination/poisonpill/ledger_test.go
+++ b/core/coordination/poisonpill/ledger_test.go
@@ -82,6 +82,10 @@
 					unproven = ", unproven"
 				}
 				fmt.Fprintf(&out, "quarantined: %d ends, until %s, %d trials from %s%s\n", len(quarantine.Ends), quarantine.Until.Sub(start), quarantine.Trials, quarantine.Trial.Sub(start), unproven)
+			case "item": // item REQUEST: when it may run as a batch item
+				if quarantine, ok := ledger.Quarantine(now, fingerprint(words[1])); ok {
+					fmt.Fprintf(&out, "item: %d ends, next trial at %s\n", len(quarantine.Ends), quarantine.ItemTrial.Sub(start))
+				}
 			case "all":
 				fmt.Fprintf(&out, "ends: %d of %d requests\n", len(ledger.All(now)), ledger.Len())
 			case "ledger": // ledger MAX_REQUESTS
--- a/io/process/node/trial.go
+++ b/io/process/node/trial.go
@@ -17,13 +17,16 @@
 const (
 	// TrialLifetime is the time in which a trial has ended an engine or cleared the request, unless its process was lost.
 	TrialLifetime = 15 * time.Second
-	// maxClaims bounds how often one trial is claimed, so that a request whose engine ends are not seen stops being tried.
+	// maxClaims bounds how often one trial is claimed, so that a request whose engine ends are not seen is tried less.
 	maxClaims = 3
 	// trialClaimLimit bounds the wait of a caller for the claim, which takes the store 4 ms.
 	trialClaimLimit = 250 * time.Millisecond
 	trialClaimRetry = time.Second // after the store did not answer a claim
 )
 
+// ErrTrialSpent is the cause of the error of a claim of a trial that was claimed maxClaims times and has shown nothing.
+const ErrTrialSpent = errors.ConstError("the trial was claimed before, and nothing came of it")
+
 // trial is the record that a process runs a quarantined request once.
 type trial struct {
 	Fingerprint poisonpill.Fingerprint `json:"fingerprint"`
@@ -33,8 +36,8 @@
 }
 
 // ClaimTrial claims a trial of a quarantined request, given by its number, so that it runs once in the whole fleet. The cause of its
-// error is store.ErrConflict if another process has claimed the trial. A claim older than TrialLifetime is claimed again, up to
-// maxClaims times.
+// error is store.ErrConflict if another process has claimed the trial, and ErrTrialSpent if it can't be claimed any longer. A claim older
+// than TrialLifetime is claimed again, up to maxClaims times.
 func (node *Node) ClaimTrial(ctx context.Context, fingerprint poisonpill.Fingerprint, number int) (err error) {
 	defer func() { err = errors.Annotatef(err, "claiming trial %d of %s", number, fingerprint) }()
 	key := node.Records.OwnKey(fmt.Sprintf("%s%s/%s%d", suspicionPrefix, fingerprint, trialName, number))
@@ -58,6 +61,8 @@
 		return nil // the response to an earlier claim was lost
 	case time.Since(known.At) > TrialLifetime && known.Claims < maxClaims:
 		_, err = claim(current[0].Revision, known.Claims+1)
+	case time.Since(known.At) > TrialLifetime:
+		return ErrTrialSpent
 	}
 	return err
 }
@@ -65,6 +70,7 @@
 // heldTrial is the latest trial of a request that this process has claimed, or tried to.
 type heldTrial struct {
 	number  int
+	spent   int       // trials before it of which nothing came
 	free    bool      // it belongs to this process, and no copy of the request uses it
 	retryAt time.Time // it may be claimed again from this time on
 }
@@ -86,18 +92,29 @@
 	if len(quarantine.trials) >= maxSuspects {
 		clear(quarantine.trials)
 	}
-	held = &heldTrial{number: found.TrialNumber, retryAt: time.Now().Add(TrialLifetime)}
+	spent := 0
+	if held != nil && held.number == found.TrialNumber {
+		spent = held.spent
+	}
+	if spent >= found.Trials {
+		quarantine.mutex.Unlock()
+		return false
+	}
+	held = &heldTrial{number: found.TrialNumber, spent: spent, retryAt: time.Now().Add(TrialLifetime)}
 	quarantine.trials[fingerprint] = held
 	quarantine.mutex.Unlock()
 
 	ctx, cancel := context.WithTimeout(ctx, trialClaimLimit)
 	defer cancel()
-	err := node.ClaimTrial(ctx, fingerprint, found.TrialNumber)
+	err := node.ClaimTrial(ctx, fingerprint, found.TrialNumber+spent)
 	node.Log.Info("trial claimed", zap.String("request", requestID), zap.Stringer("fingerprint", fingerprint), zap.String("part", found.Part), zap.Int("ends", found.TrialNumber), telemetry.Err(err))
-	if err != nil && !errors.Is(err, store.ErrConflict) {
-		quarantine.mutex.Lock()
+	quarantine.mutex.Lock()
+	defer quarantine.mutex.Unlock()
+	switch {
+	case errors.Is(err, ErrTrialSpent):
+		held.spent, held.retryAt = held.spent+1, time.Now()
+	case err != nil && !errors.Is(err, store.ErrConflict):
 		held.retryAt = time.Now().Add(trialClaimRetry)
-		quarantine.mutex.Unlock()
 	}
 	return err == nil
 }
--- a/io/process/worker/trial.go
+++ b/io/process/worker/trial.go
@@ -28,7 +28,7 @@
 	item    string    // ID of the item that runs
 	claimed bool      // the trial belongs to this worker
 	from    time.Time // the item may run from this time on; zero while it may not
-	retryAt time.Time // the trial may be claimed again from this time on; zero while it need not be
+	retryAt time.Time // the trial may be claimed again, also for another item, from this time on; zero while it need not be
 }
 
 // withhold keeps an item from running, or gives it up, if it is quarantined and has no trial. It reports whether it did.
@@ -38,15 +38,15 @@
 		delete(worker.trials, fingerprintOf(itemRun)) // a later quarantine has trials of its own
 	}
 	for _, quarantine := range quarantines {
-		until := quarantine.Trial
-		if !now.Before(quarantine.Trial) {
+		until := quarantine.ItemTrial
+		if !now.Before(until) {
 			if worker.mayTry(ctx, now, itemRun.Item.ID, quarantine) {
 				continue
 			}
 			until = now.Add(claimDelay)
 		}
 		abandoned := worker.runner.Withhold(now, itemRun, until)
-		if until.Equal(quarantine.Trial) || abandoned {
+		if until.Equal(quarantine.ItemTrial) || abandoned {
 			worker.Log.Info("item withheld", zap.String("job", itemRun.Job.ID), zap.String("request", itemRun.Item.ID), zap.Stringer("fingerprint", quarantine.Fingerprint),
 				zap.String("part", quarantine.Part), zap.Int("ends", len(quarantine.Ends)), zap.Time("until", until), zap.Bool("abandoned", abandoned))
 		}
@@ -60,8 +60,13 @@
 func (worker *Worker) mayTry(ctx context.Context, now time.Time, item string, quarantine poisonpill.Quarantine) (allowed bool) {
 	fingerprint, ends := quarantine.Fingerprint, quarantine.TrialNumber
 	known := worker.trials[fingerprint]
-	if known != nil && known.ends == ends && (known.retryAt.IsZero() || now.Before(known.retryAt)) {
-		return known.item == item && !known.from.IsZero() && !now.Before(known.from)
+	if known != nil && known.ends == ends {
+		if known.item == item && !known.from.IsZero() {
+			return !now.Before(known.from)
+		}
+		if known.retryAt.IsZero() || now.Before(known.retryAt) {
+			return false
+		}
 	}
 	if len(worker.trials) >= maxKnownTrials {
 		clear(worker.trials)
@@ -70,19 +75,20 @@
 	if known != nil {
 		claim.spent = max(0, known.spent-(ends-known.ends)) // a spent trial whose engine had ended counts as an end
 	}
-	if claim.spent >= quarantine.Trials {
-		return false
-	}
 	worker.trials[fingerprint] = claim
 	go func() {
 		err := worker.Node.ClaimTrial(ctx, fingerprint, ends+claim.spent)
-		if err != nil && !errors.Is(err, store.ErrConflict) {
+		if err != nil && !errors.Is(err, store.ErrConflict) && !errors.Is(err, node.ErrTrialSpent) {
 			time.Sleep(claimRetryDelay)
 		}
 		worker.actions <- func() {
 			switch {
 			case err == nil:
-				claim.claimed, claim.from = true, time.Now()
+				// Another item may use the trial from then on: this one's job may end before it runs.
+				claim.claimed, claim.from, claim.retryAt = true, time.Now(), time.Now().Add(node.TrialLifetime)
+			case errors.Is(err, node.ErrTrialSpent):
+				claim.spent++
+				claim.retryAt = time.Now()
 			case errors.Is(err, store.ErrConflict):
 				claim.retryAt = time.Now().Add(node.TrialLifetime)
 			default:
