worker: a run that ended before it was preempted keeps its outcome

Cause, by reading: a run that was preempted counted as preempted whatever its outcome, so that a rejection, a response of 500 or a complete output that arrived as the run was preempted was dropped and the item ran again. Only a run that had not ended counts as preempted now.

--- a/core/coordination/jobrunner/runner.go
+++ b/core/coordination/jobrunner/runner.go
@@ -44,6 +44,15 @@
 // String returns the name of the outcome in logs and metrics.
 func (outcome Outcome) String() string { return outcomeNames[outcome] }
 
+// AfterPreemption returns the outcome of a run that was cancelled to free its slot. A run that had ended by itself, before the
+// cancellation reached it, keeps its outcome.
+func (outcome Outcome) AfterPreemption() Outcome {
+	if outcome == Interrupted {
+		return Preempted
+	}
+	return outcome
+}
+
 // item is an item of a job that the process owns.
 type item struct {
 	jobrecord.Item
--- a/core/coordination/jobrunner/runner_test.go
+++ b/core/coordination/jobrunner/runner_test.go
@@ -61,13 +61,17 @@
 					}
 					running[run.Item.ID] = run
 					fmt.Fprintf(&out, "%s after event %q\n", run.Item.ID, run.Progress.LastEventID)
-				case "outcome": // outcome ITEM OUTCOME [EVENTS], each character of EVENTS being the data of one event
+				case "outcome": // outcome ITEM OUTCOME [EVENTS [preempted]], each character of EVENTS being the data of one event
 					run := running[words[1]]
 					progress := run.Progress
 					if len(words) > 3 {
 						progress = jobrecord.Progress{LastEventID: words[3], Data: strings.Split(words[3], "")}
 					}
-					runner.RecordOutcome(now, run, Outcome(slices.Index(outcomeNames[:], words[2])), progress)
+					outcome := Outcome(slices.Index(outcomeNames[:], words[2]))
+					if len(words) > 4 { // preempted
+						outcome = outcome.AfterPreemption()
+					}
+					runner.RecordOutcome(now, run, outcome, progress)
 				case "withhold": // withhold ITEM UNTIL
 					until, err := time.ParseDuration(words[2])
 					must(t, err)
--- a/io/process/worker/worker.go
+++ b/io/process/worker/worker.go
@@ -353,7 +353,7 @@
 	delete(worker.running, run)
 	worker.Node.Release(run.engine, true)
 	if run.preempted {
-		outcome = jobrunner.Preempted
+		outcome = outcome.AfterPreemption()
 	}
 	switch outcome {
 	case jobrunner.Finished, jobrunner.Invalid, jobrunner.Errored:
