--- a/core/coordination/poisonpill/doc.go
+++ b/core/coordination/poisonpill/doc.go
@@ -1,2 +1,2 @@
-// Package poisonpill identifies poison pills: requests that crash every target that runs them.
+// Package poisonpill identifies poison pills: requests, and parts of prompts, that crash every target that runs them.
 package poisonpill
--- a/core/coordination/poisonpill/ledger.go
+++ b/core/coordination/poisonpill/ledger.go
@@ -68,7 +68,8 @@
 	TrialNumber int // of the next trial: quarantineEnds, and one more for each trial that ended an engine
 	// Unproven is set while fewer than quarantineEnds of the ends happened one after another. An outage that ends several engines
 	// at once looks the same to a request with a copy at each, so the next trial, which is due at once, may be any copy. It is also set
-	// for a part of which all ends were under a single request, which may be the cause itself.
+	// for a part of which all ends were under a single request, which may be the cause itself, and while another suspect was at each of
+	// the ends too.
 	Unproven bool
 }
 
