placement: the promises of two owners of a limit in a row stay within the bound

Cause: the owner of a limit promised tokens up to a second ahead, each good for a second more; when it is replaced, the next owner begins at once, and both add up. Two owners were replaced within 4 s.

--- a/core/coordination/placement/limit.go
+++ b/core/coordination/placement/limit.go
@@ -10,9 +10,12 @@
 
 const (
 	// tokenLifetime is how long a token may be used. The owner of an engine's limit counts it as used from the start.
-	tokenLifetime = time.Second
-	// maxTokenWait is how far ahead the owner of a limit promises tokens.
-	maxTokenWait = time.Second
+	tokenLifetime = 500 * time.Millisecond
+	// maxTokenWait is how far ahead the owner of a limit promises tokens. When a member takes over a limit, the tokens that the owner before
+	// has promised add to its own.
+	maxTokenWait = 250 * time.Millisecond
+	// onlineFirst is how long batch items get no tokens after an online request had to wait for one.
+	onlineFirst = time.Second
 	// maxSavedTokens and maxSaving bound the tokens of the past that a burst may use, by their number and by the time over which they
 	// add up.
 	maxSavedTokens = 3
@@ -26,6 +29,8 @@
 	maxTokens = 32
 	// askRetryDelay is the time after which a token is asked for again that the owner did not promise, or if it did not respond.
 	askRetryDelay = 200 * time.Millisecond
+	// maxAskDelay bounds that time, since the rate may rise.
+	maxAskDelay = time.Second
 	// maxBuckets bounds the engines whose limits this process owns or knows. Only those that are not listed are forgotten.
 	maxBuckets = 4096
 )
@@ -87,7 +92,7 @@
 	for range min(count, maxTokens) {
 		wait := bucket.next.Sub(now)
 		switch {
-		case batch && (wait > -saving || now.Sub(bucket.onlineAt) < maxTokenWait):
+		case batch && (wait > -saving || now.Sub(bucket.onlineAt) < onlineFirst):
 			return tokens, max(askRetryDelay, wait+interval)
 		case wait > maxTokenWait:
 			bucket.onlineAt = now
@@ -332,7 +337,7 @@
 		known.tokens = append(known.tokens, now.Add(wait))
 	}
 	if len(grant.Tokens) == 0 {
-		known.askAfter = now.Add(min(grant.Retry, maxTokenWait))
+		known.askAfter = now.Add(min(grant.Retry, maxAskDelay))
 	}
 	return pool.mergeLimit(ask.Engine, grant.Limit)
 }
