placement: asks for tokens back off while they are in vain

In a fleet of 48 processes with 30 limited engines the members asked each other 57 times a second and process, mostly in vain, and the more of them the more often.

--- a/core/coordination/placement/limit.go
+++ b/core/coordination/placement/limit.go
@@ -65,6 +65,7 @@
 	tokens   []time.Time // times from which they may be used, earliest first
 	asking   int         // tokens that were asked for and not responded to
 	askAfter time.Time   // no tokens are asked for before
+	denied   int         // asks in a row without a token
 }
 
 // demand counts the requests for a service, by demandWindow.
@@ -336,8 +337,12 @@
 	for _, wait := range grant.Tokens {
 		known.tokens = append(known.tokens, now.Add(wait))
 	}
-	if len(grant.Tokens) == 0 {
-		known.askAfter = now.Add(min(grant.Retry, maxAskDelay))
+	known.denied++
+	if len(grant.Tokens) > 0 {
+		known.denied = 0
+	} else {
+		// The more members want the tokens of an engine, the more often an ask is in vain.
+		known.askAfter = now.Add(min(grant.Retry<<min(known.denied-1, 8), maxAskDelay))
 	}
 	return pool.mergeLimit(ask.Engine, grant.Limit)
 }
