ingress: lines about pages without results tell what their view has received

An operator who is asked why a page was empty could not tell a watch that reported no changes, or a part of them, from a complete one, nor a chunk of results that is held back until an earlier one arrives: the line named the age and the source of the view only. It now names the revision up to which changes were received, to be compared with the lines of other processes at that time, the time since the last ones, and the number of chunks held back.

--- a/core/state/jobrecord/jobrecord.go
+++ b/core/state/jobrecord/jobrecord.go
@@ -157,6 +157,9 @@
 	return *cached, true
 }
 
+// HeldBack returns the number of chunks of a job that were received before an earlier one.
+func (cache *Cache) HeldBack(id string) int { return len(cache.chunks[id]) }
+
 // Range calls visit for each job until visit returns false.
 func (cache *Cache) Range(visit func(id string, view View) bool) {
 	for id, view := range cache.jobs {
--- a/io/process/ingress/jobs.go
+++ b/io/process/ingress/jobs.go
@@ -272,7 +272,8 @@
 		items = len(view.Job.Items)
 	}
 	server.Log.Info("no results", zap.String("job", call.JobID), zap.Int("after", call.After), zap.Int("known", len(view.Results)), zap.Int("items", items),
-		zap.Duration("view_age", time.Since(view.AsOf)), zap.String("view_source", view.Source), zap.Bool("store_asked", storeAsked),
+		zap.Duration("view_age", time.Since(view.AsOf)), zap.String("view_source", view.Source), zap.Int64("revision", view.Revision),
+		zap.Duration("change_age", time.Since(view.ChangedAt)), zap.Int("held_back", view.HeldBack), zap.Bool("store_asked", storeAsked),
 		zap.Duration("took", time.Since(arrived)), zap.String("outcome", outcome))
 }
 
--- a/io/process/node/directory.go
+++ b/io/process/node/directory.go
@@ -49,6 +49,8 @@
 	listing        bool                     // records are being listed: their changes are not new
 	asOf           time.Time                // the view reflects the store at this time or later
 	source         string                   // Update.Source of the last update
+	revision       int64                    // Update.Revision of the last update
+	changedAt      time.Time                // when the last update with changes was applied
 	reachableSince time.Time                // when the store last became reachable after an outage
 	changed        chan struct{}            // closed at the next change of any record
 }
@@ -118,8 +120,9 @@
 		case port.OtherRecord:
 		}
 	}
-	directory.asOf, directory.source = update.AsOf, update.Source
+	directory.asOf, directory.source, directory.revision = update.AsOf, update.Source, update.Revision
 	if len(update.Items) > 0 || update.Reset {
+		directory.changedAt = time.Now()
 		close(directory.changed)
 		directory.changed = make(chan struct{})
 	}
@@ -314,8 +317,13 @@
 type JobView struct {
 	jobrecord.View
 
-	AsOf   time.Time // the view reflects the store at this time or later
-	Source string    // what the last update was read from, for logs
+	AsOf time.Time // the view reflects the store at this time or later
+
+	// For logs:
+	Source    string    // what the last update was read from
+	Revision  int64     // revision of the store up to which changes were received
+	ChangedAt time.Time // when the last changes were received
+	HeldBack  int       // chunks of results that wait for an earlier one
 }
 
 // jobView returns the view of a batch job, and a channel that is closed at the next change of any record.
@@ -323,7 +331,11 @@
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
 	cached, ok := directory.jobs.Get(id)
-	return JobView{View: cached, AsOf: directory.asOf, Source: directory.source}, ok, directory.changed
+	view = JobView{
+		View: cached, AsOf: directory.asOf, Source: directory.source, Revision: directory.revision, ChangedAt: directory.changedAt,
+		HeldBack: directory.jobs.HeldBack(id),
+	}
+	return view, ok, directory.changed
 }
 
 // eachJob calls visit for each known batch job until visit returns false. visit must not block.
--- a/io/process/telemetry/events.go
+++ b/io/process/telemetry/events.go
@@ -78,7 +78,7 @@
 	{"broken off", "request route configuration engine attempt events first since_arrival reason", "a response was interrupted after part of it had been sent, and no engine could resume it"},
 
 	{"job accepted", "job items quota tokens tokens_waiting tokens_allowed view_age", "the job was written to the store; the fields from quota on describe the decision on a route whose waiting tokens are bounded"},
-	{"no results", "job after known items view_age view_source store_asked took outcome", "a call for the results of an unfinished job got none: outcome is an empty page, behind if the view may lack results, or job not found; known is the number of results in the view, and took the time since the call arrived"},
+	{"no results", "job after known items view_age view_source revision change_age held_back store_asked took outcome", "a call for the results of an unfinished job got none: outcome is an empty page, behind if the view may lack results, or job not found; known is the number of results in the view, held_back the number of chunks of results that wait for an earlier one, revision that of the store up to which changes were received, change_age the time since the last ones, and took the time since the call arrived"},
 	{"job claimed", "job owner epoch error", "this worker tried to take over a job whose owner is not live; owner is the former owner, and error is set if the claim failed, for example because another worker claimed the job first"},
 	{"job adopted", "job epoch written items begun", "this worker starts to run a job that it owns; written and begun are the numbers of items with a result and with saved progress"},
 	{"job dropped", "job reason", "this worker no longer runs the job"},
