store: a view is dated by a read of the store's revision, not by a watch

Cause: a watch dated the view to its own start, whatever it returned. The store may report no changes for a while, or a part of them: a process whose watches return nothing took itself for current, and answered with an empty page without asking the store. Three guesses stood in for proof: the age of the view (1.3 s), the size of a response (512 kB), and dating the view back once the history was discarded. A response that named a revision without its changes was worse: the process went on from that revision and never learned of the changes.

Now the store's revision is read before each watch; the read is linearizable. The view has the date of that read once it is at that revision, for which each change must have been received: a view goes no further than the last change that a watch returned. The guesses are gone.

--- a/io/store/follow.go
+++ b/io/store/follow.go
@@ -14,13 +14,6 @@
 	// readerRetryDelay is how long this process reads the store itself after its reader has failed. A crashed reader's
 	// lease, of 3 s, ends meanwhile, and another reader takes its place.
 	readerRetryDelay = 3 * time.Second
-	// maxSilence is how long the store may report no changes before it discards its history.
-	maxSilence = time.Second
-	// maxWatchGap is the age of the view above which a watch is not expected to return all changes.
-	maxWatchGap = 1300 * time.Millisecond
-	// minCutBytes is the size of the values in the response of a watch from which on the store may have left out later changes.
-	// It cuts responses at about 1 MB.
-	minCutBytes = 512 << 10
 )
 
 // Update holds changes of keys, or a listing of all keys below a prefix. A view of the store consists of all updates handled
@@ -71,11 +64,11 @@
 
 	asOf        time.Time // Update.AsOf of the last update
 	relistCause error     // why all keys have to be listed again
-	// While the follower catches up after a gap, its watches may return only a part of the changes. The view reflects the
-	// time goalAt once it is at revision goal. goal is 0 if the follower is not catching up.
+	// A watch may return no changes, or a part of them, although there are more. The store was at revision goal at some time
+	// after goalAt, so the view reflects the time goalAt once it is at that revision. goal is 0 if it is to be read before the
+	// next watch; it is kept while each watch returns some of the changes up to it.
 	goal   int64
 	goalAt time.Time
-	cut    bool // the last watch, which began without a gap, may have returned only a part of the changes
 
 	source        string    // peer that the last changes came from; empty: the store
 	readerRetryAt time.Time // the store is read directly until then
@@ -105,7 +98,7 @@
 			previous := revision
 			revision = follower.watch(ctx, revision)
 			follower.setSource("", nil)
-			if (follower.goal != 0 || follower.cut) && revision > previous {
+			if follower.goal != 0 && revision > previous {
 				continue
 			}
 		}
@@ -155,24 +148,27 @@
 }
 
 // watch reads the store's changes after revision and returns the revision to continue from, or 0 if all keys have to be
-// listed again.
+// listed again. The view is dated by the revision of the store that was read before the watch, not by the watch itself.
 func (follower *Follower) watch(ctx context.Context, revision int64) int64 {
-	started := time.Now()
-	certain := true // whether it is known how many changes there are
-	if follower.goal == 0 && (follower.cut || started.Sub(follower.asOf) > maxWatchGap) {
-		goal, err := follower.Store.Revision(ctx, follower.Prefixes[0])
-		follower.goal, follower.goalAt, certain = goal, started, err == nil
+	if follower.goal == 0 {
+		started := time.Now()
+		if goal, err := follower.Store.Revision(ctx, follower.Prefixes[0]); err == nil {
+			follower.goal, follower.goalAt = goal, started
+		}
+	}
+	if follower.goal != 0 && follower.goal <= revision { // the view is current before the watch has waited for changes
+		follower.handle(Update{Revision: revision, AsOf: follower.goalAt, Source: "revision"})
 	}
 	items, current, err := follower.Store.Watch(ctx, "", revision, follower.Wait)
 	switch {
 	case err == nil && current >= revision:
-		update := Update{Items: items, Revision: current, AsOf: started, Source: "watch"}
-		follower.cut = follower.goal == 0 && valueBytes(items) >= minCutBytes
-		switch {
-		case !certain || current < follower.goal || follower.cut:
-			update.AsOf, update.Source = follower.asOf, "incomplete watch"
-		case follower.goal != 0:
-			update.AsOf, follower.goal = follower.goalAt, 0
+		current = receivedRevision(items, revision, current)
+		update := Update{Items: items, Revision: current, AsOf: follower.asOf, Source: "incomplete watch"}
+		if follower.goal != 0 && current >= follower.goal {
+			update.AsOf, update.Source = follower.goalAt, "watch"
+		}
+		if update.Source == "watch" || current == revision {
+			follower.goal = 0
 		}
 		follower.handle(update)
 		return current
@@ -182,26 +178,22 @@
 		if follower.relistCause = err; err == nil {
 			follower.relistCause = errors.Errorf("the store is at revision %d, behind this process's revision %d", current, revision)
 		}
-		follower.distrust()
+		if follower.Feed != nil {
+			follower.Feed.close()
+		}
 		return 0
 	}
+	follower.goal = 0
 	return revision
 }
 
-// valueBytes returns the total size of the values of items.
-func valueBytes(items []Item) (size int) {
-	for _, item := range items {
-		size += len(item.Value)
-	}
-	return size
-}
-
-// distrust dates the view back and closes the change feed, since the last watches may have missed changes.
-func (follower *Follower) distrust() {
-	if follower.Feed != nil {
-		follower.Feed.close()
+// receivedRevision returns the revision up to which a watch from revision on has returned changes, where its response names
+// the revision current. Each revision has a change, so that those after the last item may be missing.
+func receivedRevision(items []Item, revision, current int64) (received int64) {
+	if len(items) == 0 {
+		return revision
 	}
-	follower.update(Update{AsOf: follower.asOf.Add(-maxSilence), Source: "discarded history"})
+	return min(current, items[len(items)-1].Revision)
 }
 
 // pollReader handles the changes after revision in the change feed of a reader, and returns the reader's revision. The
--- a/io/store/follow_test.go
+++ b/io/store/follow_test.go
@@ -20,6 +20,7 @@
 	items   []Item
 	changed chan struct{} // closed at the next change; nil while no watch waits
 	watches int           // calls of Watch
+	lists   int           // calls of List, also those that read the revision only
 	hanging bool          // watches get no response
 }
 
@@ -39,15 +40,16 @@
 	driver.hanging = hanging
 }
 
-func (driver *memoryDriver) watchCalls() int {
+func (driver *memoryDriver) calls() (watches, lists int) {
 	driver.mutex.Lock()
 	defer driver.mutex.Unlock()
-	return driver.watches
+	return driver.watches, driver.lists
 }
 
 func (driver *memoryDriver) List(context.Context, string, string) (items []Item, more bool, revision int64, err error) {
 	driver.mutex.Lock()
 	defer driver.mutex.Unlock()
+	driver.lists++
 	return slices.Clone(driver.items), false, int64(len(driver.items)), nil
 }
 
@@ -204,7 +206,7 @@
 		group.changedAt = map[int64]time.Time{}
 		defer group.start(t, 16)()
 		time.Sleep(5 * time.Second) // a follower that calls the reader before its feed is open retries after 3 s
-		before := service.watchCalls()
+		watchesBefore, listsBefore := service.calls()
 		group.mutex.Lock()
 		group.seen, group.changedAt = map[int][]int64{}, map[int64]time.Time{1: time.Now()}
 		for number := range 16 {
@@ -223,8 +225,9 @@
 		if group.maxViewAge > 950*time.Millisecond {
 			t.Errorf("a view is %s old although no call failed", group.maxViewAge)
 		}
-		if calls := service.watchCalls() - before; calls > 45 {
-			t.Errorf("%d store calls in 16 s", calls)
+		watches, lists := service.calls()
+		if watches, lists = watches-watchesBefore, lists-listsBefore; watches > 45 || lists > 45 {
+			t.Errorf("%d watches and %d reads of the revision in 16 s", watches, lists)
 		}
 	})
 }
