node: members log and count watches that return a part of the changes

Whether a view was current could not be told from the logs: the source of a view was a watch in either case. A line names the revision that was received and that of the store when watches begin or cease to be complete, and a counter names how many were.

--- a/io/process/node/node.go
+++ b/io/process/node/node.go
@@ -70,6 +70,8 @@
 	// streams holds which builds of the engines began streams that callers may resume.
 	streams streams
 
+	watchIncomplete atomic.Bool // the last watch of the store returned a part of the changes
+
 	tickDelay      atomic.Int64  // nanoseconds by which the last tick was late
 	leaseRenewedAt atomic.Int64  // Unix nanoseconds of the last renewal
 	reregister     chan struct{} // requests that the member record be written again
@@ -170,6 +172,7 @@
 		CallPeer:       node.mesh.CallMember,
 		Feed:           node.relay.Feed,
 		OnSourceChange: node.logSource,
+		OnWatched:      node.recordWatch,
 		OnListing:      node.logListing,
 		OnListed:       node.logListed,
 	}
@@ -201,6 +204,21 @@
 	node.Log.Info("source of news changed", zap.String("peer", peer), telemetry.Err(cause), zap.Duration("view_age", node.directory.age()))
 }
 
+// recordWatch counts a watch of the store, and logs when watches begin or cease to return all changes.
+func (node *Node) recordWatch(watched store.Watched) {
+	complete := watched.Complete()
+	outcome := "complete"
+	if !complete {
+		outcome = "incomplete"
+	}
+	telemetry.Watches.Add(outcome, 1)
+	if node.watchIncomplete.Swap(!complete) == !complete {
+		return
+	}
+	node.Log.Info("completeness of watches changed", zap.Bool("complete", complete), zap.Int("items", watched.Items), zap.Int64("revision", watched.Revision),
+		zap.Int64("store_revision", watched.StoreRevision), zap.Duration("view_age", node.directory.age()))
+}
+
 // logListing logs that all records are about to be listed.
 func (node *Node) logListing(cause error) {
 	node.Log.Info("listing started", telemetry.Err(cause), zap.Duration("view_age", node.directory.age()))
--- a/io/process/telemetry/events.go
+++ b/io/process/telemetry/events.go
@@ -33,6 +33,7 @@
 	{"store access changed", "via_peers", "via_peers is true when store calls are relayed through peers because the store is unreachable from this VM or rejects its calls, and false when direct calls succeed again"},
 	{"source of news changed", "peer error view_age", "peer is the member whose change feed this process reads; empty if it reads the store itself"},
 
+	{"completeness of watches changed", "complete items revision store_revision view_age", "watches of the store begin or cease to return all changes: a watch returned items changes up to revision, while the store was at store_revision before it (0 if that could not be read); while they are incomplete the view keeps its age, so that results are read from the store"},
 	{"listing started", "error view_age", "this process starts to list all records of the store, because it has just started or because of error"},
 	{"listing ended", "prefixes items took error view_age", "a listing of all records ended; prefixes and items are the numbers of prefixes and records read, and error is set if it failed"},
 
--- a/io/process/telemetry/metrics.go
+++ b/io/process/telemetry/metrics.go
@@ -45,6 +45,7 @@
 	Resumptions     = newCounters("resumptions", "outcome", "streams that callers took up again, by whether the software version that began them is known and serves")
 	StoreCalls      = newCounters("store_calls", "call and outcome", "calls to the store, including those relayed through a peer")
 	StoreTime       = newHistograms("store_seconds", "call", "duration of a call to the store; that of a watch includes the wait for changes")
+	Watches         = newCounters("watches", "outcome", "watches of the store by this process, by whether they returned all changes made before them")
 	LogLines        = newCounters("log_lines", "event", "log lines by event; each decision writes one line")
 	DroppedLogLines = newCounters("log_lines_dropped", "cause", "log lines dropped because the reader of the log was slow")
 
--- a/io/store/follow.go
+++ b/io/store/follow.go
@@ -37,6 +37,18 @@
 	Err      error // the store's error that ended the listing early
 }
 
+// Watched describes what a watch has shown, for logs.
+type Watched struct {
+	Items         int
+	Revision      int64 // up to which changes were received
+	StoreRevision int64 // of the store before the watch; 0 if it is not known
+}
+
+// Complete reports whether the view has all changes made before the watch.
+func (watched Watched) Complete() bool {
+	return watched.StoreRevision != 0 && watched.Revision >= watched.StoreRevision
+}
+
 // Follower lists the keys below some prefixes and then follows their changes. It uses a single watch of the whole store
 // with a limited rate, so that one call returns the changes below all prefixes. Where a peer reads the store for this
 // process, the changes come from the peer's change feed instead.
@@ -56,6 +68,8 @@
 	// OnSourceChange is called when the follower switches to the feed of a peer, or to the store (""). cause is the error
 	// that made it leave a peer's feed. It may be nil.
 	OnSourceChange func(peer string, cause error)
+	// OnWatched is called after each watch of the store that has not failed. It may be nil.
+	OnWatched func(Watched)
 	// OnListing is called when the follower starts to list all keys; cause is the reason why its changes no longer suffice,
 	// and nil at the start of the process. It may be nil.
 	OnListing func(cause error)
@@ -163,14 +177,18 @@
 	switch {
 	case err == nil && current >= revision:
 		current = receivedRevision(items, revision, current)
+		watched := Watched{Items: len(items), Revision: current, StoreRevision: follower.goal}
 		update := Update{Items: items, Revision: current, AsOf: follower.asOf, Source: "incomplete watch"}
-		if follower.goal != 0 && current >= follower.goal {
+		if watched.Complete() {
 			update.AsOf, update.Source = follower.goalAt, "watch"
 		}
-		if update.Source == "watch" || current == revision {
+		if watched.Complete() || current == revision {
 			follower.goal = 0
 		}
 		follower.handle(update)
+		if follower.OnWatched != nil {
+			follower.OnWatched(watched)
+		}
 		return current
 	case err == nil || errors.Is(err, ErrCompacted):
 		// The store has returned to an older revision or has compacted its history, so the watch can't report
