ingress: a view vouches for half a second that there are no results

A caller reads that there are no results within a second in which another caller has read some: a view of up to 0.8 s vouched for it, which left 0.2 s for the process and the way to the caller. That such a delay made the users' play is only suspected.

age_on_the_way failed before: the store was not asked at an age of 0.6 s.

--- a/io/process/ingress/jobs.go
+++ b/io/process/ingress/jobs.go
@@ -23,8 +23,8 @@
 	viewTimeout = 600 * time.Millisecond // the view lags by at most the follower's pace and one store call
 	// maxViewAge is the age of the view above which the process checks the store for newer results before it answers that
 	// there are none. Results that one process has served have to be visible at every other one within 1 s; the difference
-	// is for a process that is short of CPU time while it answers.
-	maxViewAge            = 800 * time.Millisecond
+	// is for the way to the caller, as packets may wait for half a second on a link that counts as sound.
+	maxViewAge            = 500 * time.Millisecond
 	submitTimeout         = 1500 * time.Millisecond
 	cancelTimeout         = 3 * time.Second // a cancellation has to be acknowledged within 4 s
 	commitRetryDelay      = 100 * time.Millisecond
