ingress: a chunk of results that is held back is read from the store

A view that has a later chunk of a job's results, and lacks an earlier one, answered with empty pages however young it was, and with 503 for positions after them, for as long as it lacked the chunk. Such a view now counts as one that may lack results, and so does one that doesn't reach the position up to which the caller has read: the chunks are read from the store, one after the other, until there is a result to return.

chunk_missing failed before: an empty page, and 503 twice.

--- a/io/process/ingress/jobs.go
+++ b/io/process/ingress/jobs.go
@@ -16,6 +16,7 @@
 	"cowslipway/core/state/routes"
 	"cowslipway/io/port"
 	"cowslipway/io/process/node"
+	"cowslipway/io/process/telemetry"
 	"cowslipway/io/store"
 )
 
@@ -189,9 +190,9 @@
 	}
 	view = server.awaitResults(ctx, call, view)
 	storeAsked := false
-	if len(view.Results) == call.After && !hasAllResults(view) && time.Since(view.AsOf) > maxViewAge {
+	if len(view.Results) <= call.After && mayLackResults(view, call.After) {
 		storeAsked = true
-		view = server.readNextChunk(ctx, view)
+		view = server.readChunks(ctx, view, call.After)
 	}
 	page, size := []jobrecord.Result{}, 0
 	for _, result := range view.Results[min(call.After, len(view.Results)):] {
@@ -205,8 +206,8 @@
 		server.reject(writer, call, http.StatusInternalServerError, 0, err.Error())
 		return
 	}
-	switch behind := len(view.Results) < call.After || !hasAllResults(view) && time.Since(view.AsOf) > maxViewAge; {
-	case len(page) == 0 && behind:
+	switch {
+	case len(page) == 0 && mayLackResults(view, call.After):
 		server.logNoResults(call, view, storeAsked, arrived, "behind")
 		server.reject(writer, call, http.StatusServiceUnavailable, notReadyRetryAfter, "results may exist that are not known here yet")
 		return
@@ -220,6 +221,12 @@
 // hasAllResults reports whether view has a result for each item of its job.
 func hasAllResults(view node.JobView) bool { return len(view.Results) >= len(view.Job.Items) }
 
+// mayLackResults reports whether the store may have results that view lacks and that other processes have returned: view is old, does not
+// reach the position after, up to which the caller has read, or has chunks that follow one which it lacks.
+func mayLackResults(view node.JobView, after int) bool {
+	return len(view.Results) < after || !hasAllResults(view) && (view.HeldBack > 0 || time.Since(view.AsOf) > maxViewAge)
+}
+
 // awaitResults waits up to call.Wait for results after position call.After, and returns the view that has them or else the
 // latest view. It aborts the response if ctx ends.
 func (server *Server) awaitResults(ctx context.Context, call port.Call, view node.JobView) (latest node.JobView) {
@@ -243,25 +250,28 @@
 	}
 }
 
-// readNextChunk reads the chunk after those of view from the store. It returns view with the results of that chunk or, if there
-// is none, as of the start of the call: the response may arrive late, for example if this process was suspended meanwhile. It
-// returns view unchanged if the store does not answer.
-func (server *Server) readNextChunk(ctx context.Context, view node.JobView) (latest node.JobView) {
-	started := time.Now()
-	record, ok, err := server.Node.Store.Get(ctx, server.Node.Records.OwnKey(jobrecord.ChunkKey(view.Job.ID, view.Chunks)))
-	if err != nil {
-		return view
-	}
-	if !ok {
-		view.AsOf, view.Source = started, "chunk"
-		return view
-	}
-	var chunk jobrecord.Chunk
-	if err = json.Unmarshal(record.Value, &chunk); err != nil {
-		return view
+// readChunks reads the chunks after those of view from the store, until view has a result after position after or the store has no further
+// chunk. The view is then as of the start of the last call: the response may arrive late, for example if this process was suspended
+// meanwhile. It ends early if the store does not answer.
+func (server *Server) readChunks(ctx context.Context, view node.JobView, after int) (latest node.JobView) {
+	for len(view.Results) <= after && !hasAllResults(view) {
+		started := time.Now()
+		record, ok, err := server.Node.Store.Get(ctx, server.Node.Records.OwnKey(jobrecord.ChunkKey(view.Job.ID, view.Chunks)))
+		if err != nil {
+			return view
+		}
+		if !ok {
+			view.AsOf, view.Source, view.HeldBack = started, "chunk", 0
+			return view
+		}
+		var chunk jobrecord.Chunk
+		if err = json.Unmarshal(record.Value, &chunk); err != nil {
+			server.Log.Warn("batch record ignored", zap.String("key", record.Key), telemetry.Err(err))
+			return view
+		}
+		view.Results = append(slices.Clip(view.Results), chunk.Results...) // the cache shares the old slice
+		view.Chunks++
 	}
-	view.Results = append(slices.Clip(view.Results), chunk.Results...) // the cache shares the old slice
-	view.Chunks++
 	return view
 }
 
--- a/io/process/ingress/jobs_test.go
+++ b/io/process/ingress/jobs_test.go
@@ -49,10 +49,11 @@
 	store.Driver // nil, so that a call which the test does not expect panics
 
 	mutex      sync.Mutex
-	items      []store.Item  // oldest first; each has the next revision
-	getDelay   time.Duration // time from reading a key to the response
-	watchDelay time.Duration // time from reading the changes to the response
-	gets       int           // calls of Get
+	items      []store.Item   // oldest first; each has the next revision
+	unwatched  map[int64]bool // revisions of items that watches leave out
+	getDelay   time.Duration  // time from reading a key to the response
+	watchDelay time.Duration  // time from reading the changes to the response
+	gets       int            // calls of Get
 }
 
 func (service *jobStore) put(key string, record any) {
@@ -65,6 +66,16 @@
 	service.items = append(service.items, store.Item{Key: key, Value: value, Revision: int64(len(service.items) + 1)})
 }
 
+// leaveOutNext makes watches leave out the next item.
+func (service *jobStore) leaveOutNext() {
+	service.mutex.Lock()
+	defer service.mutex.Unlock()
+	if service.unwatched == nil {
+		service.unwatched = map[int64]bool{}
+	}
+	service.unwatched[int64(len(service.items)+1)] = true
+}
+
 func (service *jobStore) Get(_ context.Context, key string) (item store.Item, ok bool, err error) {
 	service.mutex.Lock()
 	service.gets++
@@ -89,6 +100,7 @@
 	service.mutex.Lock()
 	delay := service.watchDelay
 	items, current = slices.Clone(service.items[revision:]), int64(len(service.items))
+	items = slices.DeleteFunc(items, func(item store.Item) bool { return service.unwatched[item.Revision] })
 	service.mutex.Unlock()
 	if len(items) == 0 {
 		delay = max(delay, wait)
@@ -153,6 +165,9 @@
 					case "sleep":
 						time.Sleep(duration())
 					case "result":
+						if words[len(words)-1] == "unwatched" {
+							service.leaveOutNext()
+						}
 						service.put(jobrecord.ChunkKey("j", results), jobrecord.Chunk{Results: []jobrecord.Result{{ID: fmt.Sprintf("j-%d", results)}}})
 						results++
 					case "read": // the words after it: position and wait; the call goes on while the next lines run
