http1, ingress, entry: a refusal is not lost with the unread body

Cause: a request that is refused by its head alone, such as for a route that has been dropped or before the process has read a configuration, was answered without reading its body. net/http reads the rest of the body only on connections that it keeps. If the caller asks for the connection to be closed and the body has a length, it closes the socket with the body unread, and the kernel then resets the connection. The caller, or a load balancer that is still passing the body on, may drop the response that it has received, or has yet to receive.

DrainBody reads what is left of the body before the end of the response is sent, so nothing is unread when the connection is closed. It reads up to the size that a body may have by default. A caller that waits for "100 Continue" sends no body after a final response, so none is read.

--- a/io/process/ingress/server.go
+++ b/io/process/ingress/server.go
@@ -24,7 +24,7 @@
 const (
 	readHeaderTimeout   = 10 * time.Second // longer than the operator's limit for callers to send a header
 	maxHeaderBytes      = 64 << 10
-	defaultMaxBodyBytes = 4 << 20 // applies where the configuration sets no limit
+	defaultMaxBodyBytes = 4 << 20 // applies where the configuration sets no limit, and to bodies that are not used
 	maxLinger           = 3 * time.Second
 	readLimit           = time.Second            // for connections that wait to be accepted, and for their requests, during the shutdown
 	shutdownMargin      = time.Second            // between the end of the shutdown and SIGKILL
@@ -55,7 +55,7 @@
 	if err != nil {
 		return err
 	}
-	callerServer := &http.Server{Handler: server, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
+	callerServer := &http.Server{Handler: http1.DrainBody(server, defaultMaxBodyBytes), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
 	readyServer := &http.Server{Handler: http.HandlerFunc(server.serveReady), ReadHeaderTimeout: readHeaderTimeout}
 	group, runCtx := errgroup.WithContext(runCtx)
 	group.Go(func() error { return server.Node.Run(runCtx) })
