--- a/io/transport/http1/body_test.go
+++ b/io/transport/http1/body_test.go
@@ -25,6 +25,8 @@
 		{"length", "Connection: close\r\nContent-Length: 300000\r\n", strings.Repeat("x", 300_000)},
 		{"chunks", "Connection: close\r\nTransfer-Encoding: chunked\r\n", chunked},
 		{"up to the limit", fmt.Sprintf("Connection: close\r\nContent-Length: %d\r\n", limit), strings.Repeat("x", limit)},
+		{"body that does not arrive", "Connection: close\r\nContent-Length: 300000\r\n", ""},
+		{"body that does not arrive on a connection to be kept", "Content-Length: 200000\r\n", ""},
 		{"body that waits to be asked for", "Expect: 100-continue\r\nContent-Length: 300000\r\n", ""},
 	} {
 		t.Run(test.name, func(t *testing.T) {
