ingress: idle timeouts and broken off responses can be told apart

One hypothesis is that an attempt is given up after its engine was silent, and no other engine may go on. "broken off" gave "engine failed" also when time was up, nothing counted the responses by reason, and only the cause of "attempt" told of an idle timeout, without how long the engine had been silent.

The line "idle timeout expired" names the engine, the time since the last event and since anything was received from the engine, and what became of the attempt. The counters idle_timeouts and broken_off have the numbers. No decision changes.

--- a/io/process/ingress/online.go
+++ b/io/process/ingress/online.go
@@ -392,7 +392,11 @@
 		online.log("caller gone", fleet.Engine{})
 		panic(http.ErrAbortHandler)
 	case online.headerSent:
+		if ctx.Err() != nil {
+			reason = "time is up"
+		}
 		online.recordOutcome("broken off")
+		telemetry.BrokenOff.Add(reason, 1)
 		online.log("broken off", fleet.Engine{}, zap.String("reason", reason))
 		panic(http.ErrAbortHandler)
 	case online.mayHaveExecuted && ctx.Err() != nil:
@@ -531,6 +535,7 @@
 	timer        *time.Timer
 	eventTimeout time.Duration // between two events
 	streaming    atomic.Bool   // an event has arrived
+	idleSince    atomic.Int64  // time of the last event, or of the start of the attempt, in Unix nanoseconds
 }
 
 // startWatchdog returns a watchdog for an attempt at engine. It does nothing where no other engine may resume the stream.
@@ -543,15 +548,21 @@
 		return &watchdog{}
 	}
 	watchdog := &watchdog{eventTimeout: pauseFactor * max(firstEventTimeout, online.route.MaxPause)}
+	watchdog.idleSince.Store(time.Now().UnixNano())
 	idle := retry.IdleTimeout{Period: firstEventTimeout, Extensions: maxIdleExtensions}
-	node := online.server.Node
+	node, attempt := online.server.Node, online.attempts
 	watchdog.timer = time.AfterFunc(time.Hour, func() { // started by Reset below, since the function uses the timer field
-		if idle.Expired(time.Since(node.Upstream.LastReceived(engine.Address)), node.SchedulingDelayed()) {
+		received := time.Since(node.Upstream.LastReceived(engine.Address))
+		if idle.Expired(received, node.SchedulingDelayed()) {
+			cause, outcome := errIdleTimeout, "given up"
 			if !watchdog.streaming.Load() && node.Overloaded(engine) {
-				cancel(errQueued)
-				return
+				cause, outcome = errQueued, "queue left"
 			}
-			cancel(errIdleTimeout)
+			cancel(cause)
+			telemetry.IdleTimeouts.Add(outcome, 1)
+			online.server.Log.Info("idle timeout expired", zap.String("request", online.call.RequestID), zap.String("route", online.route.Name),
+				zap.Int64("configuration", online.table.Version), zap.String("engine", engine.ID), zap.Int("attempt", attempt), zap.Bool("begun", watchdog.streaming.Load()),
+				zap.Duration("idle", time.Since(time.Unix(0, watchdog.idleSince.Load()))), zap.Duration("received", received), zap.String("outcome", outcome))
 			return
 		}
 		watchdog.timer.Reset(firstEventTimeout)
@@ -564,6 +575,7 @@
 func (watchdog *watchdog) eventReceived() {
 	if watchdog.timer != nil {
 		watchdog.streaming.Store(true)
+		watchdog.idleSince.Store(time.Now().UnixNano())
 		watchdog.timer.Reset(watchdog.eventTimeout)
 	}
 }
--- a/io/process/telemetry/metrics.go
+++ b/io/process/telemetry/metrics.go
@@ -35,6 +35,8 @@
 	FirstEventTime  = newHistograms("first_event_seconds", "kind", "time from the arrival of a streaming request to its first event")
 	QueueTime       = newHistograms("queue_seconds", "outcome", "time that an online request waited in the queue")
 	Attempts        = newCounters("attempts", "outcome", "attempts to serve an online request at an engine")
+	BrokenOff       = newCounters("broken_off", "reason", "responses that were interrupted after part of them had been sent, by the reason why no engine went on")
+	IdleTimeouts    = newCounters("idle_timeouts", "outcome", "expired idle timeouts of streams that another engine may resume")
 	EngineResults   = newCounters("engine_results", "engine and outcome", "attempts to serve an online request and runs of batch items, by engine")
 	QuotaDecisions  = newCounters("quota_decisions", "verdict", "decisions about batch jobs on routes whose waiting tokens are bounded")
 	Items           = newCounters("items", "verdict", "finished runs of batch items")
