ingress: a stream is left where it is until another engine has a slot

Cause: the watchdog of a stream that another engine may resume cancelled the attempt once its engine had sent nothing for the idle timeout, and only then a slot was sought elsewhere. Where none was to be had (no other engine, none of the software version, all slots in use, a quarantine, a limit), a stream that had begun was broken off, and one that had not got 502, although the engine would have gone on.

Evidence: the three scripts silent_engine_only_one, silent_engine_other_version and silent_engines_new_configuration failed in three of three runs each before.

The attempt now goes on while another slot is sought. It is cancelled, and its connection reset, only once a slot at another engine has been acquired and still no event has arrived; the stream is resumed after that, so that two engines never work on it at once. An event that arrives meanwhile ends the search, or returns the slot. If no engine may be used, the attempt goes on, and one is sought again after a further period of at least 100 ms. The attempts that the route allows bound the moves as before. A request under quarantine stays where it is: no trial is claimed for a request that runs. An engine that is left is ejected as before, one that is kept is not.

Moves that were needless cost the fleet a prompt read again, so a stream that runs is not moved to an engine that this process has ejected: that one failed a moment ago, and this one is only silent.

All scripts of TestSharedStorePath passed in one run with the race detector.

--- a/core/coordination/placement/placement.go
+++ b/core/coordination/placement/placement.go
@@ -63,6 +63,9 @@
 	Excluded []uint64  // digests of engines that must not be chosen
 	Deadline time.Time // latest useful start of an online request
 	Prefix   Prefix    // shared part of the prompt of an online request
+	// SkipEjected keeps the request from engines that this process has ejected, also if there are no others. It is set for a request that
+	// runs already, and is as likely to go on where it is.
+	SkipEjected bool
 }
 
 // Decision is the result of placing an online request. The request was admitted, waits in the queue (Ticket is not 0),
@@ -364,7 +367,7 @@
 	onlineLoad := func(engine *engine) int { return engine.onlineLoad(now) }
 	decision.Waiting = len(pool.queue)
 	for _, health := range []health{healthy, suspected, ejected} {
-		if health == ejected && decision.Candidates > 0 {
+		if health == ejected && (request.SkipEjected || decision.Candidates > 0) {
 			break
 		}
 		chosen, eligible := pool.pick(now, request, health, onlineChoices, free, load)
@@ -580,7 +583,7 @@
 		ok := false
 		if !full[waiter.request.Service] {
 			decision, ok = pool.acquireSlot(now, waiter.request)
-			full[waiter.request.Service] = !ok && len(waiter.request.Excluded) == 0 && waiter.request.Version == ""
+			full[waiter.request.Service] = !ok && len(waiter.request.Excluded) == 0 && waiter.request.Version == "" && !waiter.request.SkipEjected
 		}
 		switch {
 		case ok:
--- a/core/coordination/placement/placement_test.go
+++ b/core/coordination/placement/placement_test.go
@@ -173,9 +173,10 @@
 		_, err := fmt.Sscanf(text, "%d:%d", &prefix.Digest, &prefix.Tokens)
 		must(script.t, err)
 	}
+	_, skipEjected := arguments["skip-ejected"]
 	summary := map[string]int{}
 	for range times {
-		decision := script.pool.AcquireOnline(script.now, Request{Service: "llm", Deadline: script.now.Add(wait), Prefix: prefix})
+		decision := script.pool.AcquireOnline(script.now, Request{Service: "llm", Deadline: script.now.Add(wait), Prefix: prefix, SkipEjected: skipEjected})
 		summary[describe(decision)]++
 	}
 	var lines []string
--- a/core/coordination/retry/idle_timeout_test.go
+++ b/core/coordination/retry/idle_timeout_test.go
@@ -1,8 +1,12 @@
 package retry
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"time"
+
+	"github.com/cockroachdb/datadriven"
 )
 
 // TestIdleTimeout covers the reasons for an idle stream: an engine that is down, an engine whose slots are all in use, and
@@ -29,3 +33,44 @@
 		}
 	}
 }
+
+// TestIdleOutcomes runs testdata/idle_timeout: what becomes of an attempt at a silent engine, looked at again after each period. Guards
+// against ending it while no other engine may be used.
+func TestIdleOutcomes(t *testing.T) {
+	datadriven.RunTest(t, "testdata/idle_timeout", func(t *testing.T, data *datadriven.TestData) string {
+		at := func(name string) time.Duration {
+			elapsed := time.Hour // never
+			if data.HasArg(name) {
+				var text string
+				data.ScanArgs(t, name, &text)
+				var err error
+				if elapsed, err = time.ParseDuration(text); err != nil {
+					t.Fatal(err)
+				}
+			}
+			return elapsed
+		}
+		var lines []string
+		timeout, search, sinceReceived := IdleTimeout{Period: at("period"), Extensions: 4}, time.Duration(0), time.Hour
+		if data.HasArg("search") {
+			search = at("search")
+		}
+		if data.HasArg("busy") {
+			sinceReceived = 0
+		}
+		for now := timeout.Period; ; now += timeout.Period {
+			if event := at("event-at"); event <= now {
+				return strings.Join(append(lines, fmt.Sprintf("%s: event", event)), "\n") + "\n"
+			}
+			if !timeout.Expired(sinceReceived, false) {
+				continue
+			}
+			now += search
+			outcome := Settle(Search{Found: at("slot-from") <= now, Progressed: at("event-at") <= now, Ended: at("end-at") <= now})
+			lines = append(lines, fmt.Sprintf("%s: %s", now, outcome))
+			if outcome != Kept {
+				return strings.Join(lines, "\n") + "\n"
+			}
+		}
+	})
+}
--- a/io/process/ingress/online.go
+++ b/io/process/ingress/online.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -14,7 +14,6 @@
 
 	"cowslipway/core/coordination/placement"
 	"cowslipway/core/coordination/poisonpill"
-	"cowslipway/core/coordination/retry"
 	"cowslipway/core/state/fleet"
 	"cowslipway/core/state/routes"
 	"cowslipway/io/port"
@@ -27,15 +26,6 @@
 const (
 	// firstEventReserve is the time from sending a request to an engine with a free slot until its first event arrives.
 	firstEventReserve = 60 * time.Millisecond
-	// firstEventShare is the part of the route's latency target for which a stream that another engine may resume waits
-	// for its first event.
-	firstEventShare = 0.5
-	// pauseFactor is the multiple of the route's longest pause, or of the timeout for the first event if that is longer,
-	// after which another engine resumes a stream without events.
-	pauseFactor = 2
-	// maxIdleExtensions is how often the idle timeout is extended where the engine or this process is only busy: the wait
-	// for the first event then takes up to five times as long.
-	maxIdleExtensions = 4
 	// maxConnectFailures bounds how many engines may refuse a connection without using up the attempts that the route
 	// allows: a whole failure domain or half of a service may be down, and a connection is refused within 1 ms.
 	maxConnectFailures = 8
@@ -51,13 +41,6 @@
 	bufferedBodyBytes = 64 << 10
 )
 
-// errIdleTimeout is the cause of an attempt's cancellation after its engine sent nothing within the idle timeout.
-const errIdleTimeout = errors.ConstError("the engine sent nothing within the idle timeout")
-
-// errQueued is the cause of an attempt's cancellation while the request waited in the queue of an engine, which is not a
-// failure of the engine.
-const errQueued = errors.ConstError("the request waited too long in the engine's queue")
-
 // quarantinedReason is the reason for which a request is rejected under which several engines have ended.
 const quarantinedReason = "quarantined, since engines ended while they ran this request"
 
@@ -122,7 +105,8 @@
 	streaming       bool                           // the response is a stream of events
 	lastEventID     string                         // ID of the last event sent to the caller
 	events          int                            // sent to the caller
-	read            *poisonpill.Content            // what engines read of the request; nil until content is called
+	content         func() poisonpill.Content      // returns what engines read of the request
+	next            *placed                        // slot at the engine of the next attempt, if the last one was moved; nil otherwise
 	firstEventAt    time.Time
 }
 
@@ -162,6 +146,7 @@
 		arrived: arrived, lastEventID: call.LastEventID,
 	}
 	online.request.RequestURI = uri
+	online.content = sync.OnceValue(online.readContent)
 	if online.call.LastEventID != "" && online.resumable() && !online.findVersion() {
 		return
 	}
@@ -231,6 +216,7 @@
 			online.server.Node.ReturnTrial(fingerprint, number, online.reachedEngine)
 		}
 	}()
+	defer online.returnSlot()
 	retryAfter, reason := time.Duration(0), ""
 	var fields []zap.Field // of the decision not to send the request to an engine
 	for online.attempts < online.route.MaxAttempts && ctx.Err() == nil {
@@ -238,9 +224,7 @@
 			retryAfter, reason, fields = online.rejectQuarantined(quarantine)
 			break
 		}
-		acquireStarted := time.Now()
-		decision, err := online.server.Node.Acquire(ctx, online.placementRequest())
-		waited := time.Since(acquireStarted)
+		decision, waited, err := online.acquire(ctx)
 		if err != nil {
 			break
 		}
@@ -289,15 +273,30 @@
 	online.rejectUnserved(ctx, retryAfter, reason, fields)
 }
 
-// content returns what engines read of the request.
-func (online *onlineRequest) content() poisonpill.Content {
-	if online.read == nil {
-		online.read = &poisonpill.Content{
-			Request: poisonpill.FingerprintOf(online.request.Method, online.request.Host, online.request.RequestURI, online.body),
-			Parts:   online.parts(),
-		}
+// acquire acquires a slot for the next attempt, unless the last one was ended for a slot at another engine.
+func (online *onlineRequest) acquire(ctx context.Context) (decision placement.Decision, waited time.Duration, err error) {
+	if next := online.next; next != nil {
+		online.next = nil
+		return next.decision, next.waited, nil
+	}
+	started := time.Now()
+	decision, err = online.server.Node.Acquire(ctx, online.placementRequest())
+	return decision, time.Since(started), err
+}
+
+// returnSlot releases the slot for the next attempt if there is no such attempt.
+func (online *onlineRequest) returnSlot() {
+	if online.next != nil {
+		online.server.Node.Release(online.next.decision.Engine, false)
+	}
+}
+
+// readContent returns what engines read of the request.
+func (online *onlineRequest) readContent() poisonpill.Content {
+	return poisonpill.Content{
+		Request: poisonpill.FingerprintOf(online.request.Method, online.request.Host, online.request.RequestURI, online.body),
+		Parts:   online.parts(),
 	}
-	return *online.read
 }
 
 // fingerprint returns the fingerprint of the request.
@@ -421,8 +420,8 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	defer func() { cause = online.attemptCause(ctx, cause) }()
-	watchdog := online.startWatchdog(engine, cancel)
-	defer watchdog.stop()
+	watchdog := online.startWatchdog(ctx, engine, cancel)
+	defer func() { online.next = watchdog.stop() }()
 	remaining := time.Duration(0)
 	if !online.deadline.IsZero() {
 		remaining = time.Until(online.deadline)
@@ -529,64 +528,6 @@
 	}
 }
 
-// watchdog cancels an attempt whose engine sends nothing within the idle timeout, where another engine may resume the
-// stream. Without a timer it does nothing.
-type watchdog struct {
-	timer        *time.Timer
-	eventTimeout time.Duration // between two events
-	streaming    atomic.Bool   // an event has arrived
-	idleSince    atomic.Int64  // time of the last event, or of the start of the attempt, in Unix nanoseconds
-}
-
-// startWatchdog returns a watchdog for an attempt at engine. It does nothing where no other engine may resume the stream.
-func (online *onlineRequest) startWatchdog(engine fleet.Engine, cancel context.CancelCauseFunc) *watchdog {
-	if online.route.Kind != routes.Stream || !online.route.Retryable() || online.attempts >= online.route.MaxAttempts {
-		return &watchdog{}
-	}
-	firstEventTimeout := time.Duration(float64(online.route.TargetLatency) * firstEventShare)
-	if firstEventTimeout <= 0 {
-		return &watchdog{}
-	}
-	watchdog := &watchdog{eventTimeout: pauseFactor * max(firstEventTimeout, online.route.MaxPause)}
-	watchdog.idleSince.Store(time.Now().UnixNano())
-	idle := retry.IdleTimeout{Period: firstEventTimeout, Extensions: maxIdleExtensions}
-	node, attempt := online.server.Node, online.attempts
-	watchdog.timer = time.AfterFunc(time.Hour, func() { // started by Reset below, since the function uses the timer field
-		received := time.Since(node.Upstream.LastReceived(engine.Address))
-		if idle.Expired(received, node.SchedulingDelayed()) {
-			cause, outcome := errIdleTimeout, "given up"
-			if !watchdog.streaming.Load() && node.Overloaded(engine) {
-				cause, outcome = errQueued, "queue left"
-			}
-			cancel(cause)
-			telemetry.IdleTimeouts.Add(outcome, 1)
-			online.server.Log.Info("idle timeout expired", zap.String("request", online.call.RequestID), zap.String("route", online.route.Name),
-				zap.Int64("configuration", online.table.Version), zap.String("engine", engine.ID), zap.Int("attempt", attempt), zap.Bool("begun", watchdog.streaming.Load()),
-				zap.Duration("idle", time.Since(time.Unix(0, watchdog.idleSince.Load()))), zap.Duration("received", received), zap.String("outcome", outcome))
-			return
-		}
-		watchdog.timer.Reset(firstEventTimeout)
-	})
-	watchdog.timer.Reset(firstEventTimeout)
-	return watchdog
-}
-
-// eventReceived restarts the idle timeout.
-func (watchdog *watchdog) eventReceived() {
-	if watchdog.timer != nil {
-		watchdog.streaming.Store(true)
-		watchdog.idleSince.Store(time.Now().UnixNano())
-		watchdog.timer.Reset(watchdog.eventTimeout)
-	}
-}
-
-// stop ends the supervision of the attempt.
-func (watchdog *watchdog) stop() {
-	if watchdog.timer != nil {
-		watchdog.timer.Stop()
-	}
-}
-
 // sendHeader sends status and header of the response to the caller. A stream keeps those of its first engine.
 func (online *onlineRequest) sendHeader(response *http.Response) {
 	if online.headerSent {
@@ -632,7 +573,9 @@
 		if event.ID != "" && !upstream.Follows(online.lastEventID, event.ID) {
 			return errors.Errorf("event %q after event %q", event.ID, online.lastEventID)
 		}
-		watchdog.eventReceived()
+		if err = watchdog.eventReceived(); err != nil {
+			return err
+		}
 		if online.events == 0 {
 			online.awaitRecord()
 			online.firstEventAt = time.Now()
