store: a store that has returned to an older revision does not date the view

A view is dated once it is at the revision that was read from the store. It was also dated where that revision was older than its own: the store has then returned to an older state, about which the view tells nothing. The watch that follows finds out and lists all keys, up to 0.35 s later, or later if it fails; until then results could be missing from a view that passed for current.

The view keeps its date now. TestViewAge/older_revision failed before: the view was dated by a read of revision 6 while it was at 9.

--- a/io/store/follow.go
+++ b/io/store/follow.go
@@ -166,11 +166,12 @@
 func (follower *Follower) watch(ctx context.Context, revision int64) int64 {
 	if follower.goal == 0 {
 		started := time.Now()
-		if goal, err := follower.Store.Revision(ctx, follower.Prefixes[0]); err == nil {
+		// An older revision than that of the view would not date it: the store has returned to it, which the watch finds out.
+		if goal, err := follower.Store.Revision(ctx, follower.Prefixes[0]); err == nil && goal >= revision {
 			follower.goal, follower.goalAt = goal, started
 		}
 	}
-	if follower.goal != 0 && follower.goal <= revision { // the view is current before the watch has waited for changes
+	if follower.goal == revision { // the view is current before the watch has waited for changes
 		follower.handle(Update{Revision: revision, AsOf: follower.goalAt, Source: "revision"})
 	}
 	items, current, err := follower.Store.Watch(ctx, "", revision, follower.Wait)
