store: members keep their reader's feed while the store is slow

Since a reader reads the store's revision before each watch, its feed may become 1.31 s old where the store takes 240 ms a call: that is a read, a watch that waits, the next read and the next watch. Members leave a feed of 1.3 s for 3 s and call the store themselves, so that a store that is slow already received the calls of all of them.

TestSlowStoreKeepsReader failed before: 16 followers made 2,400 calls in 58 s, and left the feed 225 times; it passes on, where a reader made one call at a time. A feed may now be 1.4 s old: 0 times, and no more calls than those of the reader. TestReaderFails, which bounds by 2 s the time until the members of a silent reader have each change, passes as before.

--- a/io/store/changefeed.go
+++ b/io/store/changefeed.go
@@ -11,9 +11,10 @@
 const (
 	feedRetention = 3 * time.Second // a peer that has not called for longer reads the store itself
 	maxFeedBytes  = 4 << 20         // total size of the values kept; the smallest VM has 112 MB of memory
-	// maxFeedAge is the sum of a pace of 400 ms, a watch of 350 ms and two calls to a slow store of 240 ms each, rounded up.
-	// An older feed means that the reader fails to read the store or reads it too slowly.
-	maxFeedAge = 1300 * time.Millisecond
+	// maxFeedAge is the sum of a watch of 350 ms and four calls to a slow store of 240 ms each, rounded up: a reader dates its
+	// feed by a read of the revision, whose watch may wait and which the next read and watch follow. An older feed means that the
+	// reader fails to read the store or reads it too slowly.
+	maxFeedAge = 1400 * time.Millisecond
 )
 
 // ChangeFeed keeps the changes that a follower has lately read from the store, for the peers that it reads for.
