etcd: list the keys again after the service has canceled a watch

An entry follows its keys with a list and a watch. Where the service compacts the revisions between both, it cancels the watch in a message and leaves the connection open. The message was ignored: the entry waited for changes on that connection for good, and took its configuration, drained daemons and ended jobs for current.

A connection that goes silent without such a message is still not noticed.

--- a/io/protocol/etcd/store.go
+++ b/io/protocol/etcd/store.go
@@ -219,8 +219,9 @@
 	return store.call(ctx, LeaseCall, "/v3/lease/revoke", LeaseRequest{ID: id}, &LeaseResponse{})
 }
 
-// Watch calls handle with each batch of changes of keys that start with prefix, from revision on. It returns when ctx ends
-// or the connection fails. To resume, the caller lists the keys again and watches from the revision after the list's.
+// Watch calls handle with each batch of changes of keys that start with prefix, from revision on. It returns when ctx ends,
+// the connection fails or the service cancels the watch. To resume, the caller lists the keys again and watches from the revision
+// after the list's.
 func (store *Store) Watch(ctx context.Context, prefix string, revision int64, handle func([]Event)) (err error) {
 	defer func() { err = errors.Annotatef(err, "watching %q", prefix) }()
 	if err = store.admit(ctx, ConfigurationCall); err != nil {
@@ -246,6 +247,9 @@
 		if len(message.Result.Events) > 0 {
 			handle(message.Result.Events)
 		}
+		if message.Result.Canceled {
+			return errors.New("the service canceled the watch")
+		}
 	}
 }
 
--- a/io/protocol/etcd/wire.go
+++ b/io/protocol/etcd/wire.go
@@ -127,7 +127,10 @@
 type WatchResult struct {
 	Header  ResponseHeader `json:"header"`
 	Created bool           `json:"created,omitempty"`
-	Events  []Event        `json:"events,omitempty"`
+	// Canceled is set in the last message of a watch, which the service has ended, for example because it has compacted the revisions
+	// to be watched. The connection stays open.
+	Canceled bool    `json:"canceled,omitempty"`
+	Events   []Event `json:"events,omitempty"`
 }
 
 // VM is an item of the platform's list of VMs.
