ingress: connections that failed do not use up the attempts of a stream that has begun

Callers saw streams broken off beside engines that were silent for a second. Cause: an attempt that ended before a connection was made counts as one that the route allows, unless it is made within half of the latency target; a stream that goes on at another engine is always later. Nothing has been sent then.

--- a/io/process/ingress/online.go
+++ b/io/process/ingress/online.go
@@ -317,10 +317,11 @@
 }
 
 // recordConnectFailure counts an engine that did not accept a connection. It reports whether another engine may be tried
-// without using up an attempt.
+// without using up an attempt. Once the caller has been sent a part of the response, it can no longer be told to retry elsewhere.
 func (online *onlineRequest) recordConnectFailure() bool {
 	online.connectFailures++
-	return online.connectFailures < maxConnectFailures && time.Since(online.arrived) < time.Duration(float64(online.route.TargetLatency)*firstEventShare)
+	early := time.Since(online.arrived) < time.Duration(float64(online.route.TargetLatency)*firstEventShare)
+	return online.connectFailures < maxConnectFailures && (early || online.headerSent)
 }
 
 // decisionFields returns the log fields for the state of the engines and the queue at the time of a placement decision.
