ingress: a silent engine is left only for one that accepts a connection

Callers saw streams broken off beside engines that were silent for a second, where the others could not be reached: the stream's engine was left as soon as a slot elsewhere was free as far as the load counts tell, and then no other engine accepted a connection. Now the connection is made first; if that fails the engine is ejected, its slot returned, and the stream stays where it is until the next search.

The price is a connection that may not be used, in the few cases in which the silent engine goes on while it is made.

--- a/io/process/ingress/watchdog.go
+++ b/io/process/ingress/watchdog.go
@@ -170,7 +170,7 @@
 		zap.String("reason", found.decision.Reason), zap.Int("candidates", found.decision.Candidates), zap.Int("limited", found.decision.Limited), zap.Duration("waited", found.waited))
 }
 
-// seek tries to acquire a slot at another engine. A quarantined request stays where it is.
+// seek tries to acquire a slot at another engine, which has to accept a connection. A quarantined request stays where it is.
 func (watchdog *watchdog) seek(ctx context.Context, begun bool) (found placed) {
 	if watchdog.quarantined(fleet.Engine{}) {
 		found.decision.Reason = quarantinedReason
@@ -188,6 +188,16 @@
 		watchdog.node.Release(decision.Engine, false)
 		found.decision = placement.Decision{Reason: quarantinedReason, Candidates: decision.Candidates}
 	}
+	if !found.decision.Admitted {
+		return found
+	}
+	if err = watchdog.node.Upstream.Prepare(ctx, decision.Engine.Address); err != nil {
+		if ctx.Err() == nil {
+			watchdog.node.RecordFailure(decision.Engine)
+		}
+		watchdog.node.Release(decision.Engine, false)
+		found.decision = placement.Decision{Reason: err.Error(), Candidates: decision.Candidates}
+	}
 	return found
 }
 
--- a/io/transport/upstream/pool.go
+++ b/io/transport/upstream/pool.go
@@ -188,19 +188,20 @@
 
 // connect returns an idle connection to address, or opens a new one if there is none.
 func (pool *Pool) connect(ctx context.Context, address string) (found *connection, err error) {
-	for {
-		found = pool.takeIdle(address)
-		if found == nil {
-			break
-		}
-		if found.reusable() {
-			return found, nil
-		}
-		_ = found.Close()
+	if found = pool.takeReusable(address); found != nil {
+		return found, nil
 	}
 	return pool.dial(ctx, address)
 }
 
+// takeReusable removes a reusable idle connection from the pool and returns it, or nil if there is none. It closes those that are not.
+func (pool *Pool) takeReusable(address string) (found *connection) {
+	for found = pool.takeIdle(address); found != nil && !found.reusable(); found = pool.takeIdle(address) {
+		_ = found.Close()
+	}
+	return found
+}
+
 // dial opens a new connection to address.
 func (pool *Pool) dial(ctx context.Context, address string) (opened *connection, err error) {
 	dialer := net.Dialer{Timeout: pool.DialTimeout}
@@ -213,6 +214,15 @@
 	return &connection{Conn: conn, reader: bufio.NewReaderSize(tracker, readBufferBytes), tracker: tracker, address: address}, nil
 }
 
+// Prepare makes sure that there is an idle connection to the engine at address. It fails if there is none and the engine does not accept one.
+func (pool *Pool) Prepare(ctx context.Context, address string) (err error) {
+	if idle := pool.takeReusable(address); idle != nil {
+		pool.keep(idle)
+		return nil
+	}
+	return pool.Dial(ctx, address)
+}
+
 // Dial opens a new connection to the engine at address and keeps it for reuse. It fails if the engine does not accept one.
 func (pool *Pool) Dial(ctx context.Context, address string) (err error) {
 	defer func() { err = errors.Annotatef(err, "connecting to engine %s", address) }()
@@ -379,9 +389,14 @@
 	return defaultIdleLimit
 }
 
-// putIdle returns a connection to the pool. It closes the connection if the pool already has enough to its address.
+// putIdle returns a connection that becomes idle to the pool.
 func (pool *Pool) putIdle(released *connection) {
 	released.idleSince = time.Now()
+	pool.keep(released)
+}
+
+// keep adds an idle connection to the pool. It closes the connection if the pool already has enough to its address.
+func (pool *Pool) keep(released *connection) {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	if pool.idle == nil {
