store: a relayed call that its caller gave up is no failure of the service

A process that relayed a call to the store for a peer took the store for unreachable when the peer gave the call up: it canceled its own watches, no longer called the store directly for 1 to 4 s, and turned the calls of other peers away.

Cause: Serve counted each call without a response as a failure of the service, also if the peer's cancellation ended it. The service is now judged by the limit that direct calls of the process itself have, and a cancellation by the caller does not count.

TestGivenUpCallIsNoFailure failed before: "the call counts as a failure of the service".

--- a/io/store/relay.go
+++ b/io/store/relay.go
@@ -87,8 +87,7 @@
 	case relaying:
 		err = errors.Annotate(ErrNotExecuted, "this process goes by peers itself")
 	default:
-		response, err = perform(ctx, relay.Direct, call)
-		relay.recordDirect(isUnavailable(err))
+		response, err = relay.callDirectly(ctx, call, nil)
 	}
 	if err != nil {
 		response.Error, response.Cause = err.Error(), string(ErrOutcomeUnknown)
@@ -182,9 +181,9 @@
 }
 
 // callDirectly makes call directly. It cancels the call when failed is closed: the service may have stopped answering
-// the watch as well.
-func (relay *Relay) callDirectly(ctx context.Context, call Call, failed <-chan struct{}) (response CallResponse, err error) {
-	ctx, cancel := context.WithTimeout(ctx, call.Wait+directTimeout)
+// the watch as well. A call that its caller gives up says nothing about the service.
+func (relay *Relay) callDirectly(caller context.Context, call Call, failed <-chan struct{}) (response CallResponse, err error) {
+	ctx, cancel := context.WithTimeout(caller, call.Wait+directTimeout)
 	defer cancel()
 	done := make(chan struct{})
 	defer close(done)
@@ -201,7 +200,9 @@
 	select {
 	case <-failed: // the failure has already been recorded
 	default:
-		relay.recordDirect(isUnavailable(err))
+		if !isUnavailable(err) || !errors.Is(caller.Err(), context.Canceled) {
+			relay.recordDirect(isUnavailable(err))
+		}
 	}
 	return response, err
 }
--- a/io/store/relay_test.go
+++ b/io/store/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/juju/errors"
@@ -116,3 +117,17 @@
 		t.Errorf("peer made %d direct calls, want 1: its first call was rejected", calls)
 	}
 }
+
+// TestGivenUpCallIsNoFailure guards against a process that takes the service for unreachable, and no longer calls it directly, since a
+// peer gave up a call that it relayed for it.
+func TestGivenUpCallIsNoFailure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		relay := &Relay{Direct: &faultyDriver{hanging: true}}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Hour)
+		time.AfterFunc(100*time.Millisecond, cancel)
+		relay.Serve(ctx, []byte(`{"name":"keep"}`))
+		if direct, _ := relay.mayCallDirectly(Call{Wait: time.Second}); !direct {
+			t.Error("the call counts as a failure of the service")
+		}
+	})
+}
