store: a response whose bytes keep arriving is not given up

Cause: a direct call was given up after 0.6 s, and with the relayed one after 1.2 s, whether or not its response was arriving. A page of up to 1 MB takes 0.4 s on an idle link of 30 Mbit/s, base64 included, and longer beside the traffic of callers. Each page given up was read again, from the store and through peers with slow links of their own, so that the links stayed full.

The limits of calls now count while no bytes arrive, which is what tells a store or peer that does not answer from one that does, slowly. A call ends after 3 s in any case.

--- a/io/protocol/member/call.go
+++ b/io/protocol/member/call.go
@@ -56,7 +56,7 @@
 		err = stream.Close()
 	}
 	if err == nil {
-		response, err = io.ReadAll(io.LimitReader(stream, maxCallBytes))
+		response, err = io.ReadAll(io.LimitReader(store.TrackProgress(ctx, stream), maxCallBytes))
 	}
 	if err != nil || len(response) == 0 {
 		return nil, errors.Annotatef(store.ErrOutcomeUnknown, "the member's answer is lost: %v", err)
--- a/io/store/relay.go
+++ b/io/store/relay.go
@@ -10,7 +10,8 @@
 )
 
 const (
-	// directTimeout limits a direct call, beyond its Wait, so that time is left to relay it. A slow store takes 240 ms.
+	// directTimeout limits the time without progress of a direct call, beyond its Wait, so that time is left to relay it. A
+	// slow store takes 240 ms.
 	directTimeout = 600 * time.Millisecond
 	baseRelayTime = time.Second     // calls are relayed for this long after the first failure of a direct call
 	maxRelayTime  = 4 * time.Second // longest time for which calls are relayed before a direct call is tried again
@@ -183,7 +184,7 @@
 // callDirectly makes call directly. It cancels the call when failed is closed: the service may have stopped answering
 // the watch as well. A call that its caller gives up says nothing about the service.
 func (relay *Relay) callDirectly(caller context.Context, call Call, failed <-chan struct{}) (response CallResponse, err error) {
-	ctx, cancel := context.WithTimeout(caller, call.Wait+directTimeout)
+	ctx, cancel := withStallLimit(caller, call.Wait+directTimeout)
 	defer cancel()
 	done := make(chan struct{})
 	defer close(done)
--- a/io/store/store.go
+++ b/io/store/store.go
@@ -82,13 +82,16 @@
 	// maxBreakerDelay is the longest backoff. It is half of the 1.6 s that remain for applying a configuration after the pace of
 	// a Follower, 400 ms: the shortest limit for applying one is 2 s.
 	maxBreakerDelay = 800 * time.Millisecond
+	// maxCallTime limits a call whose response arrives slowly, beyond the wait of a watch. A link of 4 Mbit/s carries the largest
+	// page, of 1 MB before it is encoded, in this time.
+	maxCallTime = 3 * time.Second
 )
 
 // Store calls a Driver through a circuit breaker: after breakerFailures consecutive failures, calls fail immediately for
 // a short, random time.
 type Store struct {
 	Driver  Driver
-	Timeout time.Duration // of one call, beyond the wait of a watch
+	Timeout time.Duration // of one call while no bytes of its response arrive, beyond the wait of a watch
 	// OnAvailabilityChange is called when the breaker opens after a success, and when a call succeeds again. It may be nil.
 	OnAvailabilityChange func(reachable bool)
 	// OnCall is called after each call to Driver. It may be nil.
@@ -100,8 +103,8 @@
 	unavailable bool
 }
 
-// do makes one call through the circuit breaker.
-func (store *Store) do(ctx context.Context, name string, timeout time.Duration, call func(ctx context.Context) error) (err error) {
+// do makes one call through the circuit breaker. The response to a watch may wait for changes.
+func (store *Store) do(ctx context.Context, name string, wait time.Duration, call func(ctx context.Context) error) (err error) {
 	defer func() { err = errors.Annotatef(err, "store call %s", name) }()
 	store.mutex.Lock()
 	open := time.Now().Before(store.openUntil)
@@ -109,8 +112,10 @@
 	if open {
 		return errors.Annotate(ErrNotExecuted, "breaker is open")
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(ctx, wait+maxCallTime)
 	defer cancel()
+	ctx, cancelStalled := withStallLimit(ctx, wait+store.Timeout)
+	defer cancelStalled()
 	started := time.Now()
 	err = call(ctx)
 	if store.OnCall != nil {
@@ -141,7 +146,7 @@
 
 // Get returns the current item under key; ok reports whether the key exists.
 func (store *Store) Get(ctx context.Context, key string) (item Item, ok bool, err error) {
-	err = store.do(ctx, "get", store.Timeout, func(ctx context.Context) (err error) {
+	err = store.do(ctx, "get", 0, func(ctx context.Context) (err error) {
 		item, ok, err = store.Driver.Get(ctx, key)
 		return err
 	})
@@ -155,7 +160,7 @@
 	for more {
 		var page []Item
 		var pageRevision int64
-		err = store.do(ctx, "list", store.Timeout, func(ctx context.Context) (err error) {
+		err = store.do(ctx, "list", 0, func(ctx context.Context) (err error) {
 			page, more, pageRevision, err = store.Driver.List(ctx, prefix, after)
 			return err
 		})
@@ -177,7 +182,7 @@
 // Revision returns the revision of the store. It reads an empty page of the keys below prefix, which must not contain a key
 // that sorts after prefix and a tilde.
 func (store *Store) Revision(ctx context.Context, prefix string) (revision int64, err error) {
-	err = store.do(ctx, "list", store.Timeout, func(ctx context.Context) (err error) {
+	err = store.do(ctx, "list", 0, func(ctx context.Context) (err error) {
 		_, _, revision, err = store.Driver.List(ctx, prefix, prefix+"~")
 		return err
 	})
@@ -186,7 +191,7 @@
 
 // Watch returns the changes below prefix after revision. It waits for the first one for at most wait.
 func (store *Store) Watch(ctx context.Context, prefix string, revision int64, wait time.Duration) (items []Item, current int64, err error) {
-	err = store.do(ctx, "watch", wait+store.Timeout, func(ctx context.Context) (err error) {
+	err = store.do(ctx, "watch", wait, func(ctx context.Context) (err error) {
 		items, current, err = store.Driver.Watch(ctx, prefix, revision, wait)
 		return err
 	})
@@ -195,7 +200,7 @@
 
 // Commit executes txn, without retries. With ErrConflict it returns the current items under the keys of the conditions.
 func (store *Store) Commit(ctx context.Context, txn Txn) (revision int64, current []Item, err error) {
-	err = store.do(ctx, "commit", store.Timeout, func(ctx context.Context) (err error) {
+	err = store.do(ctx, "commit", 0, func(ctx context.Context) (err error) {
 		revision, current, err = store.Driver.Commit(ctx, txn)
 		return err
 	})
@@ -204,7 +209,7 @@
 
 // GrantLease returns a new lease that lasts for ttl unless it is renewed.
 func (store *Store) GrantLease(ctx context.Context, ttl time.Duration) (lease int64, err error) {
-	err = store.do(ctx, "grant lease", store.Timeout, func(ctx context.Context) (err error) {
+	err = store.do(ctx, "grant lease", 0, func(ctx context.Context) (err error) {
 		lease, err = store.Driver.GrantLease(ctx, ttl)
 		return err
 	})
@@ -213,14 +218,14 @@
 
 // KeepLease renews a lease; its error has the cause ErrNoLease if the lease has ended.
 func (store *Store) KeepLease(ctx context.Context, lease int64) (err error) {
-	return store.do(ctx, "keep lease", store.Timeout, func(ctx context.Context) error {
+	return store.do(ctx, "keep lease", 0, func(ctx context.Context) error {
 		return store.Driver.KeepLease(ctx, lease)
 	})
 }
 
 // RevokeLease revokes a lease, which removes its keys.
 func (store *Store) RevokeLease(ctx context.Context, lease int64) (err error) {
-	return store.do(ctx, "end lease", store.Timeout, func(ctx context.Context) error {
+	return store.do(ctx, "end lease", 0, func(ctx context.Context) error {
 		return store.Driver.RevokeLease(ctx, lease)
 	})
 }
