store: a listing goes on after a lost call, and what is urgent stays current meanwhile

Cause: while the batch records, which are almost all of the store, were listed, nothing else was read, however long that took; and one page that was lost discarded all pages read, so that the listing began anew, for 15 s and more.

The last prefix is now listed page by page, and a lost page is repeated until it succeeds. The date of the view does not change meanwhile, so that pages of results do not vouch for more than before. The watch after the listing begins at its start; the changes in it that are older than the last listing of their urgent prefix are left out, since an engine would return to an older record.

--- a/io/process/node/node.go
+++ b/io/process/node/node.go
@@ -208,7 +208,7 @@
 
 // logListed logs the end of a listing of all records.
 func (node *Node) logListed(listing store.Listing) {
-	node.Log.Info("listing ended", zap.Int("prefixes", listing.Prefixes), zap.Int("items", listing.Items), zap.Duration("took", listing.Took),
+	node.Log.Info("listing ended", zap.Int("prefixes", listing.Prefixes), zap.Int("items", listing.Items), zap.Int("lost", listing.Lost), zap.Duration("took", listing.Took),
 		telemetry.Err(listing.Err), zap.Duration("view_age", node.directory.age()))
 }
 
--- a/io/process/telemetry/events.go
+++ b/io/process/telemetry/events.go
@@ -34,7 +34,7 @@
 	{"source of news changed", "peer error view_age", "peer is the member whose change feed this process reads; empty if it reads the store itself"},
 
 	{"listing started", "error view_age", "this process starts to list all records of the store, because it has just started or because of error"},
-	{"listing ended", "prefixes items took error view_age", "a listing of all records ended; prefixes and items are the numbers of prefixes and records read, and error is set if it failed"},
+	{"listing ended", "prefixes items lost took error view_age", "a listing of all records ended; prefixes and items are the numbers of prefixes and records read, lost that of calls that were repeated, and error is set if it failed"},
 
 	{"configuration in force", "version revision routes", "a newer routing table took effect"},
 	{"configuration ignored", "revision error", "the configuration could not be decoded; the previous one stays in force"},
--- a/io/store/asof_test.go
+++ b/io/store/asof_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,18 +20,22 @@
 	Driver // nil, so that a call which the test does not expect panics
 
 	t     *testing.T
+	mutex sync.Mutex
 	lines []string
 	done  context.CancelFunc
 }
 
 // respond returns the arguments of the next line after the time that it takes, and its error.
 func (driver *scriptedDriver) respond(call string) (arguments map[string]string, err error) {
+	driver.mutex.Lock()
 	if len(driver.lines) == 0 {
+		driver.mutex.Unlock()
 		driver.done()
 		return nil, ErrNotExecuted
 	}
 	line := driver.lines[0]
 	driver.lines = driver.lines[1:]
+	driver.mutex.Unlock()
 	words := strings.Fields(strings.TrimPrefix(line, call))
 	if !strings.HasPrefix(line, call) {
 		driver.t.Errorf("the follower called %q instead of %q", call, line)
@@ -49,7 +54,8 @@
 	return arguments, cause[arguments["error"]]
 }
 
-// items returns an item for each key in the argument keys, and the argument revision.
+// items returns an item for each key in the argument keys, at the argument revision, or for each key@revision in the argument
+// events, and the argument revision.
 func (driver *scriptedDriver) items(arguments map[string]string) (items []Item, revision int64) {
 	revision, _ = strconv.ParseInt(arguments["revision"], 10, 64)
 	for key := range strings.SplitSeq(arguments["keys"], ",") {
@@ -58,6 +64,12 @@
 			items = append(items, Item{Key: key, Revision: revision, Value: make([]byte, size)})
 		}
 	}
+	for event := range strings.SplitSeq(arguments["events"], ",") {
+		if key, text, ok := strings.Cut(event, "@"); ok {
+			changed, _ := strconv.ParseInt(text, 10, 64)
+			items = append(items, Item{Key: key, Revision: changed})
+		}
+	}
 	return items, revision
 }
 
@@ -68,7 +80,7 @@
 	}
 	arguments, err := driver.respond(call)
 	items, revision = driver.items(arguments)
-	return items, false, revision, err
+	return items, arguments["more"] == "true", revision, err
 }
 
 func (driver *scriptedDriver) Watch(_ context.Context, _ string, after int64, _ time.Duration) (items []Item, current int64, err error) {
--- a/io/store/follow.go
+++ b/io/store/follow.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -33,6 +35,7 @@
 type Listing struct {
 	Prefixes int // prefixes read completely
 	Items    int // keys read
+	Lost     int // calls that were lost and repeated
 	Took     time.Duration
 	Err      error // the store's error that ended the listing early
 }
@@ -41,8 +44,10 @@
 // with a limited rate, so that one call returns the changes below all prefixes. Where a peer reads the store for this
 // process, the changes come from the peer's change feed instead.
 type Follower struct {
-	Store    *Store
-	Prefixes []string      // listed in this order; as listing may take a second, the most urgent ones come first
+	Store *Store
+	// Prefixes are listed in this order. As listing may take seconds, the most urgent ones come first. The last one has most of
+	// the keys; the urgent prefixes, which it does not cover, are kept current while it is listed.
+	Prefixes []string
 	Pace     time.Duration // shortest time between the starts of two calls, so that frequent changes cause few calls
 	Wait     time.Duration // a watch without changes returns after this time
 	Handle   func(Update)
@@ -62,8 +67,9 @@
 	// OnListed is called after each listing. It may be nil.
 	OnListed func(Listing)
 
-	asOf        time.Time // Update.AsOf of the last update
-	relistCause error     // why all keys have to be listed again
+	asOf        time.Time        // Update.AsOf of the last update
+	listed      map[string]int64 // revisions of the last listings of urgent prefixes
+	relistCause error            // why all keys have to be listed again
 	// A watch may return no changes, or a part of them, although there are more. The store was at revision goal at some time
 	// after goalAt, so the view reflects the time goalAt once it is at that revision. goal is 0 if it is to be read before the
 	// next watch; it is kept while each watch returns some of the changes up to it.
@@ -102,12 +108,7 @@
 				continue
 			}
 		}
-		timer := time.NewTimer(max(0, follower.Pace-time.Since(started)))
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		}
-		timer.Stop()
+		sleep(ctx, max(0, follower.Pace-time.Since(started)))
 	}
 }
 
@@ -133,12 +134,42 @@
 	}
 }
 
-// update passes an update to Handle.
+// update passes an update to Handle. Changes that are older than a listing of an urgent prefix are left out: the watches after a
+// listing of all keys return changes from its start on, and must not return keys listed again meanwhile to older values.
 func (follower *Follower) update(update Update) {
 	follower.asOf = update.AsOf
+	if !update.Reset {
+		update.Items = follower.withoutListed(update.Items)
+	} else if follower.isUrgent(update.Prefix) {
+		if follower.listed == nil {
+			follower.listed = map[string]int64{}
+		}
+		follower.listed[update.Prefix] = update.Revision
+	}
 	follower.Handle(update)
 }
 
+// isUrgent reports whether the last prefix, which takes long to list, does not cover prefix.
+func (follower *Follower) isUrgent(prefix string) bool {
+	return !strings.HasPrefix(prefix, follower.Prefixes[len(follower.Prefixes)-1])
+}
+
+// withoutListed returns the items whose changes are later than the last listing of an urgent prefix of their keys.
+func (follower *Follower) withoutListed(items []Item) (later []Item) {
+	isListed := func(item Item) bool {
+		for prefix, revision := range follower.listed {
+			if item.Revision <= revision && strings.HasPrefix(item.Key, prefix) {
+				return true
+			}
+		}
+		return false
+	}
+	if !slices.ContainsFunc(items, isListed) {
+		return items
+	}
+	return slices.DeleteFunc(slices.Clone(items), isListed)
+}
+
 // handle passes an update read from the store to Handle and to the change feed.
 func (follower *Follower) handle(update Update) {
 	follower.update(update)
@@ -244,16 +275,19 @@
 	}(time.Now())
 	for number, prefix := range follower.Prefixes {
 		started := time.Now()
-		items, current, err := follower.Store.ListAll(ctx, prefix)
-		if err != nil {
-			listing.Err = err
+		update := Update{Reset: true, Prefix: prefix, AsOf: follower.asOf, Source: "listing of " + prefix}
+		if number < len(follower.Prefixes)-1 {
+			update.Items, update.Revision, listing.Err = follower.Store.ListAll(ctx, prefix)
+		} else {
+			update.Items, update.Revision, listing.Err = follower.listLast(ctx, prefix, &listing.Lost)
+		}
+		if listing.Err != nil {
 			return 0
 		}
 		if revision == 0 {
-			revision, asOf = current, started
+			revision, asOf = update.Revision, started
 		}
-		listing.Prefixes, listing.Items = listing.Prefixes+1, listing.Items+len(items)
-		update := Update{Reset: true, Prefix: prefix, Items: items, Revision: current, AsOf: follower.asOf, Source: "listing of " + prefix}
+		listing.Prefixes, listing.Items = listing.Prefixes+1, listing.Items+len(update.Items)
 		if number == len(follower.Prefixes)-1 {
 			update.AsOf = asOf
 		}
@@ -265,3 +299,63 @@
 	}
 	return revision
 }
+
+// listLast lists the last prefix, which has most of the keys and may take many calls. A lost call is repeated until it succeeds, and
+// the urgent prefixes are listed again meanwhile, so that their keys stay current.
+func (follower *Follower) listLast(ctx context.Context, last string, lost *int) (items []Item, revision int64, err error) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		items, revision, err = follower.listPages(ctx, last, lost)
+	}()
+	for {
+		timer := time.NewTimer(follower.Pace)
+		select {
+		case <-done:
+			timer.Stop()
+			return items, revision, err
+		case <-timer.C:
+		}
+		for _, prefix := range follower.Prefixes {
+			if !follower.isUrgent(prefix) {
+				continue
+			}
+			if listed, current, err := follower.Store.ListAll(ctx, prefix); err == nil {
+				follower.update(Update{Reset: true, Prefix: prefix, Items: listed, Revision: current, AsOf: follower.asOf, Source: "listing of " + prefix})
+			}
+		}
+	}
+}
+
+// listPages lists a prefix page by page. It repeats each call that is lost, and counts them, until ctx ends.
+func (follower *Follower) listPages(ctx context.Context, prefix string, lost *int) (items []Item, revision int64, err error) {
+	after, more := "", true
+	for more {
+		page, remaining, current, err := follower.Store.List(ctx, prefix, after)
+		if err != nil {
+			if *lost++; !sleep(ctx, follower.Pace) {
+				return nil, 0, err
+			}
+			continue
+		}
+		if revision == 0 {
+			revision = current
+		}
+		if items, more = append(items, page...), remaining && len(page) > 0; more {
+			after = page[len(page)-1].Key
+		}
+	}
+	return items, revision, nil
+}
+
+// sleep waits for a duration and reports whether ctx has not ended before.
+func sleep(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/io/store/store.go
+++ b/io/store/store.go
@@ -153,6 +153,16 @@
 	return item, ok, err
 }
 
+// List returns one page of the keys below prefix that sort after the key after. It reports whether there are more, and the
+// revision of the store at which it read the page.
+func (store *Store) List(ctx context.Context, prefix, after string) (items []Item, more bool, revision int64, err error) {
+	err = store.do(ctx, "list", 0, func(ctx context.Context) (err error) {
+		items, more, revision, err = store.Driver.List(ctx, prefix, after)
+		return err
+	})
+	return items, more, revision, err
+}
+
 // ListAll returns all keys below prefix. It reads them in pages, which are not a consistent snapshot, but a watch from the
 // returned revision on also returns the changes made between the pages.
 func (store *Store) ListAll(ctx context.Context, prefix string) (items []Item, revision int64, err error) {
@@ -160,11 +170,7 @@
 	for more {
 		var page []Item
 		var pageRevision int64
-		err = store.do(ctx, "list", 0, func(ctx context.Context) (err error) {
-			page, more, pageRevision, err = store.Driver.List(ctx, prefix, after)
-			return err
-		})
-		if err != nil {
+		if page, more, pageRevision, err = store.List(ctx, prefix, after); err != nil {
 			return nil, 0, err
 		}
 		if revision == 0 {
@@ -182,10 +188,7 @@
 // Revision returns the revision of the store. It reads an empty page of the keys below prefix, which must not contain a key
 // that sorts after prefix and a tilde.
 func (store *Store) Revision(ctx context.Context, prefix string) (revision int64, err error) {
-	err = store.do(ctx, "list", 0, func(ctx context.Context) (err error) {
-		_, _, revision, err = store.Driver.List(ctx, prefix, prefix+"~")
-		return err
-	})
+	_, _, revision, err = store.List(ctx, prefix, prefix+"~")
 	return revision, err
 }
 
