--- a/io/process/telemetry/events.go
+++ b/io/process/telemetry/events.go
@@ -35,7 +35,7 @@
 
 	{"completeness of watches changed", "complete items revision store_revision view_age", "watches of the store begin or cease to return all changes: a watch returned items changes up to revision, while the store was at store_revision before it (0 if that could not be read); while they are incomplete the view keeps its age, so that results are read from the store"},
 	{"listing started", "error view_age", "this process starts to list all records of the store, because it has just started or because of error"},
-	{"listing ended", "prefixes items took error view_age", "a listing of all records ended; prefixes and items are the numbers of prefixes and records read, and error is set if it failed"},
+	{"listing ended", "prefixes items lost took error view_age", "a listing of all records ended; prefixes and items are the numbers of prefixes and records read, lost that of calls that were repeated, and error is set if it failed"},
 
 	{"configuration in force", "version revision routes", "a newer routing table took effect"},
 	{"configuration ignored", "revision error", "the configuration could not be decoded; the previous one stays in force"},
