worker: a job is not adopted again from a view older than the conflict that ended it

Cause: a worker whose view is old, for example while it lists the store, learns from the conflict of its own write that its epoch has ended, and drops the job.

Now the worker keeps what the conflict has shown, and adopts the job only from a view that shows as much.

--- a/io/process/worker/worker.go
+++ b/io/process/worker/worker.go
@@ -57,6 +57,7 @@
 	checkpoints   checkpointFiles
 	savedProgress jobrecord.ProgressByJob           // from the checkpoints of the previous process on this VM
 	retired       map[string]bool                   // VMs whose retirement is reported or being reported
+	conflicts     map[string]jobrunner.StoredState  // of jobs that the view may show as they were before, by job ID
 	trials        map[poisonpill.Fingerprint]*trial // of withheld items
 }
 
@@ -77,7 +78,7 @@
 func (worker *Worker) Run(ctx context.Context) (err error) {
 	defer func() { err = errors.Annotate(err, "running batch jobs") }()
 	worker.running, worker.claiming, worker.completed = map[*activeRun]bool{}, map[string]bool{}, map[string]bool{}
-	worker.retired = map[string]bool{}
+	worker.retired, worker.conflicts = map[string]bool{}, map[string]jobrunner.StoredState{}
 	worker.trials = map[poisonpill.Fingerprint]*trial{}
 	worker.actions = make(chan action, 256)
 	worker.checkpoints = checkpointFiles{directory: worker.Node.Settings.DataDirectory, log: worker.Log}
@@ -146,7 +147,11 @@
 	self := worker.Node.Self().ID()
 	var toAdopt, toClaim []jobrecord.View
 	var toDrop []string
+	conflicts := map[string]jobrunner.StoredState{} // without those of jobs that the view no longer has
 	worker.Node.EachJob(func(id string, view jobrecord.View) bool {
+		if state, ok := worker.conflicts[id]; ok && !state.ShownBy(view) {
+			conflicts[id] = state
+		}
 		epoch := worker.runner.Epoch(id)
 		switch {
 		case view.Job == nil:
@@ -158,12 +163,15 @@
 			delete(worker.completed, id)
 		case epoch != 0 || worker.claiming[id] || worker.completed[id] || worker.stopping:
 		case view.Ownership.Owner == self:
-			toAdopt = append(toAdopt, view)
+			if state, ok := worker.conflicts[id]; !ok || state.ShownBy(view) {
+				toAdopt = append(toAdopt, view)
+			}
 		case !liveWorkers[view.Ownership.Owner] && liveWorkers[self] && jobrunner.NextOwner(id, view.Ownership.Owner, workers) == self:
 			toClaim = append(toClaim, view)
 		}
 		return true
 	})
+	worker.conflicts = conflicts
 	for _, id := range toDrop {
 		worker.drop(id, "the job has ended or is owned by another process")
 	}
@@ -466,6 +474,13 @@
 			ownershipKey := worker.Node.Records.OwnKey(jobrecord.OwnershipKey(chunk.Job))
 			written = records[chunkKey].Revision != 0 && string(records[chunkKey].Value) == values[chunkKey]
 			owned = records[ownershipKey].Revision == chunk.Epoch && (written || records[chunkKey].Revision == 0)
+			if !owned {
+				state := jobrunner.StoredState{Epoch: records[ownershipKey].Revision}
+				if records[chunkKey].Revision != 0 {
+					state.Chunks = chunk.Number + 1
+				}
+				worker.conflicts[chunk.Job] = state
+			}
 			return written, owned
 		})
 		for _, id := range dropped {
