internal/testcluster: an error response that is forwarded as the rest of a stream

On the product's own path, a stream breaks off after three events and its engine rejects the resumption with 503. The caller receives the three events and the text of the 503 as one response that ends properly.

--- a/internal/testcluster/testcluster.go
+++ b/internal/testcluster/testcluster.go
@@ -44,6 +44,7 @@
 	MaxSlowdown       float64       // limit for the slowdown of online requests by batch requests; 0 sets none
 	Slots             int           // fixed slot limit of each engine; 0 lets the target daemons adapt it
 	Chooser           routing.Chooser
+	WrapEngine        func(engine http.Handler) http.Handler // wraps the HTTP interface of each engine; may be nil
 	Log               *zap.Logger
 
 	// Start sets the following fields.
@@ -139,7 +140,11 @@
 	server.Start()
 	context.AfterFunc(ctx, server.Stop)
 	cluster.Engines = append(cluster.Engines, server)
-	baseURL, err = cluster.serveHTTP(ctx, server.Handler())
+	handler := server.Handler()
+	if cluster.WrapEngine != nil {
+		handler = cluster.WrapEngine(handler)
+	}
+	baseURL, err = cluster.serveHTTP(ctx, handler)
 	cluster.EngineURLs = append(cluster.EngineURLs, baseURL)
 	return baseURL, err
 }
--- a/internal/testcluster/testcluster_test.go
+++ b/internal/testcluster/testcluster_test.go
@@ -28,6 +28,12 @@
 // startCluster starts a cluster with two places and two accounts, of which "limited" may send one request per second.
 // stop stops the cluster and waits until it has stopped.
 func startCluster(t *testing.T) (cluster *Cluster, stop func()) {
+	t.Helper()
+	return startClusterWith(t, nil)
+}
+
+// startClusterWith is startCluster with engines whose HTTP interface is wrapped, unless wrapEngine is nil.
+func startClusterWith(t *testing.T, wrapEngine func(engine http.Handler) http.Handler) (cluster *Cluster, stop func()) {
 	t.Helper()
 	account := func(name string, requests float64) config.Account {
 		return config.Account{Name: name, KeysSHA256: []string{config.KeyDigest(name)}, Services: []string{modelService, plainService}, Weight: 1, RequestsPerSecond: requests, TokensPerSecond: 1e9}
@@ -45,6 +51,7 @@
 			Accounts: []config.Account{account("caller", 1e5), account("limited", 1)},
 		},
 		EnginePerformance: fakeengine.Performance{Base: time.Millisecond, MaxSequences: 32, CacheBlocks: 100},
+		WrapEngine:        wrapEngine,
 		Log:               zap.NewNop(),
 	}
 	ctx, cancel := context.WithCancel(t.Context())
