target: an engine's error response is not the rest of a stream

What callers saw: a stream that broke off, then the text of an engine's error response, with a proper end.

Cause: where an idempotent stream breaks off, the target daemon asks the engine to go on after the last event, and forwarded whatever the engine answered, an error status as well. A body that is not a stream of events ends the attempt as done.

A resumption now has to be answered with status 200 and a stream of events. Any other response counts as a failed resumption: it is tried up to maxResumes times, and then the stream ends with the error event and a connection that is closed without an end. The ingress has had this check.

--- a/io/process/target/attempt.go
+++ b/io/process/target/attempt.go
@@ -287,13 +287,17 @@
 		return err
 	}
 	defer func() { _ = response.Body.Close() }()
+	isStream := response.Header.Get("Content-Type") == eventStreamType
+	if execution.headSent && (response.StatusCode != http.StatusOK || !isStream) {
+		return errors.Errorf("status %d for the rest of a stream", response.StatusCode)
+	}
 	if !execution.headSent {
 		execution.headSent = true
 		if err = execution.writer.WriteHead(responseHead(response)); err != nil {
 			return err
 		}
 	}
-	if response.Header.Get("Content-Type") == eventStreamType {
+	if isStream {
 		return execution.forwardEvents(response.Body)
 	}
 	return execution.forwardBody(response.Body)
