ingress: a stream is moved only to an engine that accepts a connection

Cause: an engine with a free slot may be silent as well. The attempt was ended once the slot was acquired; the connection to the other engine then failed after 250 ms, and, unless that came within half of the route's latency target from the arrival, used up the last attempt.

The search opens a connection to the engine whose slot it has acquired, while the attempt still goes on. The connection is kept for the next attempt, so a move opens at most one that it would not have needed.

--- a/io/process/ingress/watchdog.go
+++ b/io/process/ingress/watchdog.go
@@ -42,6 +42,9 @@
 // errMoved is the error of a read that brought an event after another engine's slot had been acquired for the stream.
 const errMoved = errors.ConstError("the stream goes on at another engine")
 
+// unreachableReason is the reason for which a stream is not moved to engines that have a slot.
+const unreachableReason = "engine not reached"
+
 // placed is a slot that has been acquired for a request.
 type placed struct {
 	decision placement.Decision
@@ -170,27 +173,44 @@
 		zap.String("reason", found.decision.Reason), zap.Int("candidates", found.decision.Candidates), zap.Int("limited", found.decision.Limited), zap.Duration("waited", found.waited))
 }
 
-// seek tries to acquire a slot at another engine. A quarantined request stays where it is.
+// seek tries to acquire a slot at another engine that accepts a connection. A quarantined request stays where it is.
 func (watchdog *watchdog) seek(ctx context.Context, begun bool) (found placed) {
 	if watchdog.quarantined(fleet.Engine{}) {
-		found.decision.Reason = quarantinedReason
-		return found
+		return placed{decision: placement.Decision{Reason: quarantinedReason}}
 	}
-	request := watchdog.request
+	request, started := watchdog.request, time.Now()
 	if begun {
 		request.Deadline = time.Now().Add(watchdog.online.route.MaxPause)
 		request.Version = watchdog.engine.SoftwareVersion
 	}
-	started := time.Now()
-	decision, err := watchdog.node.Acquire(ctx, request)
-	found = placed{decision: decision, waited: time.Since(started)}
-	if err == nil && decision.Admitted && watchdog.quarantined(decision.Engine) { // since the search began, or at this engine's build only
-		watchdog.node.Release(decision.Engine, false)
-		found.decision = placement.Decision{Reason: quarantinedReason, Candidates: decision.Candidates}
+	for range maxConnectFailures {
+		decision, err := watchdog.node.Acquire(ctx, request)
+		found = placed{decision: decision, waited: time.Since(started)}
+		if err != nil || !decision.Admitted {
+			return found
+		}
+		if watchdog.quarantined(decision.Engine) { // since the search began, or at this engine's build only
+			return watchdog.decline(found, quarantinedReason)
+		}
+		if err = watchdog.node.Upstream.Dial(ctx, decision.Engine.Address); err == nil {
+			return found
+		}
+		found = watchdog.decline(found, unreachableReason)
+		if ctx.Err() != nil {
+			return found
+		}
+		watchdog.node.RecordFailure(decision.Engine)
+		request.Excluded = append(slices.Clip(request.Excluded), decision.Engine.Digest())
 	}
 	return found
 }
 
+// decline releases a slot that was found, and returns the result of a search that found none, for a reason.
+func (watchdog *watchdog) decline(found placed, reason string) (none placed) {
+	watchdog.node.Release(found.decision.Engine, false)
+	return placed{decision: placement.Decision{Reason: reason, Candidates: found.decision.Candidates}, waited: found.waited}
+}
+
 // quarantined reports whether the request, or a part of its prompt, is quarantined at engine, or at any engine if that is the zero value.
 func (watchdog *watchdog) quarantined(engine fleet.Engine) bool {
 	quarantines, _ := watchdog.node.Quarantines(watchdog.online.content, engine)
