worker: the ends of jobs are read from the store while the view is old

Cause: a worker took its view for current, however old it was. While the view is older than 1.5 s it now reads the ownership records of its jobs, once a second, and drops those that have ended or have another owner. While the store does not answer its jobs go on.

The price is a read a job and second, only while the view is old.

--- a/io/process/telemetry/events.go
+++ b/io/process/telemetry/events.go
@@ -83,6 +83,7 @@
 	{"no results", "job after known items view_age view_source revision change_age held_back store_asked took outcome", "a call for the results of an unfinished job got none: outcome is an empty page, behind if the view may lack results, or job not found; known is the number of results in the view, held_back the number of chunks of results that wait for an earlier one, revision that of the store up to which changes were received, change_age the time since the last ones, and took the time since the call arrived"},
 	{"job claimed", "job owner epoch error", "this worker tried to take over a job whose owner is not live; owner is the former owner, and error is set if the claim failed, for example because another worker claimed the job first"},
 	{"job adopted", "job epoch written items begun", "this worker starts to run a job that it owns; written and begun are the numbers of items with a result and with saved progress"},
+	{"ownership not verified", "job view_age error", "the view is too old to show whether the job is still to be run here, and its ownership record could not be read; the job goes on"},
 	{"job dropped", "job reason", "this worker no longer runs the job"},
 	{"job handed over", "job", "the ownership of a job was transferred to another worker"},
 	{"job not handed over; it goes to another worker when the lease ends", "job error", "the transfer failed, for example because the store did not respond in time"},
--- a/io/process/worker/worker.go
+++ b/io/process/worker/worker.go
@@ -57,6 +57,8 @@
 	checkpoints   checkpointFiles
 	savedProgress jobrecord.ProgressByJob           // from the checkpoints of the previous process on this VM
 	retired       map[string]bool                   // VMs whose retirement is reported or being reported
+	verifying     bool                              // ownership records are being read
+	verifiedAt    time.Time                         // end of the last such reading
 	conflicts     map[string]jobrunner.StoredState  // of jobs that the view may show as they were before, by job ID
 	trials        map[poisonpill.Fingerprint]*trial // of withheld items
 }
@@ -127,6 +129,7 @@
 	if now.Sub(worker.scannedAt) >= scanInterval {
 		worker.scannedAt = now
 		worker.scan(ctx)
+		worker.verifyOwnership(ctx, now)
 	}
 	worker.startItems(ctx, now)
 	worker.commitIfDue(ctx, now)
