ingress: a stream that has begun is not out of attempts for want of a connection

What callers saw: a stream whose engine ended in its midst was broken off, although other engines would have gone on with it.

Cause: an engine that accepts no connection does not use up an attempt, but only within half of the route's latency target from the arrival of the request. A stream that has begun is mostly older than that, so that with two attempts one engine that could not be reached ended it.

For a stream that has begun the time now counts from its interruption, and is as long as the idle timeout between two events; at most eight engines are tried in all, as before. Nothing has been sent to an engine that was not reached, so no request runs more often than its route allows.

--- a/io/process/ingress/online.go
+++ b/io/process/ingress/online.go
@@ -108,6 +108,7 @@
 	content         func() poisonpill.Content      // returns what engines read of the request
 	next            *placed                        // slot at the engine of the next attempt, if the last one was moved; nil otherwise
 	firstEventAt    time.Time
+	interruptedAt   time.Time // end of the last attempt in which the request was sent
 }
 
 // serveRouted handles a request whose route decides whether it is an online request or the submission of a batch job.
@@ -251,7 +252,9 @@
 		telemetry.Attempts.Add(result.String(), 1)
 		telemetry.EngineResults.Add(decision.Engine.ID+" "+result.String(), 1)
 		online.log("attempt", decision.Engine, zap.Stringer("outcome", result), telemetry.NamedErr("cause", cause), online.fingerprintField(result))
-		if errors.Is(cause, upstream.ErrNotSent) && online.recordConnectFailure() {
+		if !errors.Is(cause, upstream.ErrNotSent) {
+			online.interruptedAt = time.Now()
+		} else if online.recordConnectFailure() {
 			online.attempts-- // the request was not sent in this attempt
 		}
 		if result == served || result == failureForwarded {
@@ -317,10 +320,14 @@
 }
 
 // recordConnectFailure counts an engine that did not accept a connection. It reports whether another engine may be tried
-// without using up an attempt.
+// without using up an attempt: for some time from the arrival on, or from the interruption of a stream that has begun.
 func (online *onlineRequest) recordConnectFailure() bool {
 	online.connectFailures++
-	return online.connectFailures < maxConnectFailures && time.Since(online.arrived) < time.Duration(float64(online.route.TargetLatency)*firstEventShare)
+	since, limit := online.arrived, online.firstEventTimeout()
+	if online.headerSent {
+		since, limit = online.interruptedAt, online.eventTimeout()
+	}
+	return online.connectFailures < maxConnectFailures && time.Since(since) < limit
 }
 
 // decisionFields returns the log fields for the state of the engines and the queue at the time of a placement decision.
--- a/io/process/ingress/watchdog.go
+++ b/io/process/ingress/watchdog.go
@@ -77,9 +77,19 @@
 	next         *placed            // slot at the engine that the stream is moved to
 }
 
+// firstEventTimeout is the idle timeout for the first event.
+func (online *onlineRequest) firstEventTimeout() time.Duration {
+	return time.Duration(float64(online.route.TargetLatency) * firstEventShare)
+}
+
+// eventTimeout is the idle timeout between two events.
+func (online *onlineRequest) eventTimeout() time.Duration {
+	return pauseFactor * max(online.firstEventTimeout(), online.route.MaxPause)
+}
+
 // startWatchdog returns a watchdog for an attempt at engine. It does nothing where no other engine may resume the stream.
 func (online *onlineRequest) startWatchdog(ctx context.Context, engine fleet.Engine, cancel context.CancelCauseFunc) *watchdog {
-	firstEventTimeout := time.Duration(float64(online.route.TargetLatency) * firstEventShare)
+	firstEventTimeout := online.firstEventTimeout()
 	if online.route.Kind != routes.Stream || !online.route.Retryable() || online.attempts >= online.route.MaxAttempts || firstEventTimeout <= 0 {
 		return &watchdog{}
 	}
@@ -88,7 +98,7 @@
 	request.SkipEjected = true
 	watchdog := &watchdog{
 		online: online, node: online.server.Node, engine: engine, number: online.attempts, request: request, ctx: ctx, cancel: cancel,
-		firstEventTimeout: firstEventTimeout, eventTimeout: pauseFactor * max(firstEventTimeout, online.route.MaxPause),
+		firstEventTimeout: firstEventTimeout, eventTimeout: online.eventTimeout(),
 		idle: retry.IdleTimeout{Period: firstEventTimeout, Extensions: maxIdleExtensions}, begun: online.headerSent, idleSince: time.Now(),
 	}
 	watchdog.mutex.Lock()
