ingress: a stream may return to the engine that it was moved from for its silence

Cause: silence alone does not show that an engine has failed, and a free slot and a connection don't show that another can take the stream. Once the attempts are used up, the stream is now resumed at the engine that it was moved from last, once: no further engine gets the request, and its first run was ended before the move.

--- a/core/coordination/placement/placement.go
+++ b/core/coordination/placement/placement.go
@@ -60,6 +60,7 @@
 	Service  string    // service whose engines can run the request
 	Version  string    // software version that the engine must have, to resume a stream; empty if it may have any
 	Domain   string    // failure domain preferred among equally loaded engines
+	Only     uint64    // digest of the only engine that may be chosen; 0 if any may be
 	Excluded []uint64  // digests of engines that must not be chosen
 	Deadline time.Time // latest useful start of an online request
 	Prefix   Prefix    // shared part of the prompt of an online request
@@ -330,7 +331,7 @@
 
 // eligible reports whether an engine may be chosen for a request among those with the given health.
 func (pool *Pool) eligible(now time.Time, candidate *engine, request Request, health health) bool {
-	if request.Version != "" && candidate.SoftwareVersion != request.Version {
+	if request.Version != "" && candidate.SoftwareVersion != request.Version || request.Only != 0 && candidate.digest != request.Only {
 		return false
 	}
 	return !candidate.Draining && !pool.isLeaving(now, candidate.digest) && candidate.health(now) == health && !slices.Contains(request.Excluded, candidate.digest)
@@ -583,7 +584,7 @@
 		ok := false
 		if !full[waiter.request.Service] {
 			decision, ok = pool.acquireSlot(now, waiter.request)
-			full[waiter.request.Service] = !ok && len(waiter.request.Excluded) == 0 && waiter.request.Version == "" && !waiter.request.SkipEjected
+			full[waiter.request.Service] = !ok && waiter.request.Only == 0 && len(waiter.request.Excluded) == 0 && waiter.request.Version == "" && !waiter.request.SkipEjected
 		}
 		switch {
 		case ok:
--- a/io/process/ingress/online.go
+++ b/io/process/ingress/online.go
@@ -106,6 +106,7 @@
 	lastEventID     string                         // ID of the last event sent to the caller
 	events          int                            // sent to the caller
 	content         func() poisonpill.Content      // returns what engines read of the request
+	leftSilent      uint64                         // digest of the engine that the stream was moved from last; 0 if there is none or it was returned to
 	next            *placed                        // slot at the engine of the next attempt, if the last one was moved; nil otherwise
 	firstEventAt    time.Time
 	interruptedAt   time.Time // end of the last attempt in which the request was sent
@@ -220,7 +221,7 @@
 	defer online.returnSlot()
 	retryAfter, reason := time.Duration(0), ""
 	var fields []zap.Field // of the decision not to send the request to an engine
-	for online.attempts < online.route.MaxAttempts && ctx.Err() == nil {
+	for (online.attempts < online.route.MaxAttempts || online.leftSilent != 0) && ctx.Err() == nil {
 		if quarantine, ok := online.quarantined(ctx, fleet.Engine{}); ok {
 			retryAfter, reason, fields = online.rejectQuarantined(quarantine)
 			break
@@ -265,6 +266,9 @@
 			online.version = decision.Engine.SoftwareVersion
 		}
 		online.excluded = append(online.excluded, decision.Engine.Digest())
+		if errors.Is(cause, errIdleTimeout) {
+			online.leftSilent = decision.Engine.Digest()
+		}
 		reason = "engine failed"
 		if result == unknown {
 			online.mayHaveExecuted = true
@@ -276,14 +280,18 @@
 	online.rejectUnserved(ctx, retryAfter, reason, fields)
 }
 
-// acquire acquires a slot for the next attempt, unless the last one was ended for a slot at another engine.
+// acquire acquires a slot for the next attempt, unless the last one was ended for a slot at another engine. Once the attempts are used
+// up, the stream may return to the engine that it was moved from: that is no further engine, and may only have paused.
 func (online *onlineRequest) acquire(ctx context.Context) (decision placement.Decision, waited time.Duration, err error) {
 	if next := online.next; next != nil {
 		online.next = nil
 		return next.decision, next.waited, nil
 	}
-	started := time.Now()
-	decision, err = online.server.Node.Acquire(ctx, online.placementRequest())
+	started, request := time.Now(), online.placementRequest()
+	if online.attempts >= online.route.MaxAttempts {
+		request.Only, request.Excluded, online.leftSilent = online.leftSilent, nil, 0
+	}
+	decision, err = online.server.Node.Acquire(ctx, request)
 	return decision, time.Since(started), err
 }
 
