--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -24,7 +24,7 @@
 type fleet struct {
 	record  *record
 	service string // of engines that are added without another one
-	slots   int
+	slots   int    // of engines that are added from now on
 	// output returns the data of the events of a request, and the pause after each.
 	output func(id string) (events []string, pause time.Duration)
 	// unframed makes the engines send answers with neither a length nor chunks, which end with their channel.
@@ -41,6 +41,7 @@
 	address string
 	zone    string
 	service string
+	slots   int
 	running int
 
 	listener net.Listener
@@ -53,7 +54,7 @@
 // entry returns the engine's entry in the store.
 func (engine *engine) entry(state string, seq int) map[string]any {
 	return map[string]any{
-		"service": engine.service, "address": engine.address, "zone": engine.zone, "version": "1", "slots": engine.fleet.slots, "state": state,
+		"service": engine.service, "address": engine.address, "zone": engine.zone, "version": "1", "slots": engine.slots, "state": state,
 		"cold_left_ms": 0, "seq": seq, "stage": "both", "models": []any{},
 	}
 }
@@ -92,7 +93,7 @@
 	if err != nil {
 		return err
 	}
-	added := &engine{fleet: fleet, id: id, address: listener.Addr().String(), zone: zone, service: service, listener: listener, exit: make(chan struct{})}
+	added := &engine{fleet: fleet, id: id, address: listener.Addr().String(), zone: zone, service: service, slots: fleet.slots, listener: listener, exit: make(chan struct{})}
 	added.server = &http.Server{Handler: added}
 	fleet.engines = append(fleet.engines, added)
 	go func() { _ = added.server.Serve(listener) }()
@@ -116,7 +117,7 @@
 	}
 	fleet.mutex.Lock()
 	expected := request.Header.Get("Cowslipway-Expect-Instance")
-	if expected != "" && expected != engine.id || id == "" || engine.running >= fleet.slots {
+	if expected != "" && expected != engine.id || id == "" || engine.running >= engine.slots {
 		status := http.StatusServiceUnavailable
 		switch {
 		case id == "":
@@ -124,7 +125,7 @@
 		case expected != "" && expected != engine.id:
 			status = http.StatusMisdirectedRequest
 		}
-		header.Set("Cowslipway-Server-Load", fmt.Sprintf("%d,0,%d", engine.running, fleet.slots))
+		header.Set("Cowslipway-Server-Load", fmt.Sprintf("%d,0,%d", engine.running, engine.slots))
 		fleet.mutex.Unlock()
 		header.Set("Cowslipway-Not-Run", "1")
 		writer.WriteHeader(status)
@@ -134,7 +135,7 @@
 	begun := &run{id: id, engine: engine.id, path: request.URL.Path, after: after, from: time.Now()}
 	fleet.runs = append(fleet.runs, begun)
 	engine.running++
-	header.Set("Cowslipway-Server-Load", fmt.Sprintf("%d,0,%d", engine.running, fleet.slots))
+	header.Set("Cowslipway-Server-Load", fmt.Sprintf("%d,0,%d", engine.running, engine.slots))
 	fleet.mutex.Unlock()
 	defer func() {
 		fleet.mutex.Lock()
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -189,6 +189,10 @@
 func (scene *scene) checkJobs(jobs map[string][]string) (broken string, err error) {
 	end := time.Now()
 	runs := scene.fleet.snapshot()
+	slots := 0
+	for _, engine := range scene.fleet.engines {
+		slots += engine.slots
+	}
 	for _, id := range slices.Sorted(maps.Keys(jobs)) {
 		items := jobs[id]
 		results, total, ok := scene.callers.read(id)
@@ -238,7 +242,7 @@
 			}
 		}
 		finishedMissing = len(finished)
-		if 2*busy >= len(scene.fleet.engines)*scene.fleet.slots {
+		if 2*busy >= slots {
 			excused = "the engines were half full"
 		}
 		scene.record.log("end: batch job %s: %d items, total %d, %d listed, %d not listed, of which engines had finished %d; %d requests run; excuse: %q",
