--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -43,6 +43,7 @@
 }
 
 func mainCode() int {
+	signal.Ignore(syscall.SIGPIPE) // a reader of the output that is gone must not keep this program from ending the processes
 	name := os.Args[1]
 	record, err := newRecord(filepath.Join(filepath.Dir(os.Args[2]), "record.txt"))
 	if err != nil {
