--- a/io/process/node/node.go
+++ b/io/process/node/node.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
-	"github.com/juju/errors"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
@@ -36,15 +34,6 @@
 	followWait = 350 * time.Millisecond // shorter than followPace, so that no view is older than 0.8 s while all calls succeed
 	// dialTimeout is the timeout for connecting to an engine, which takes from 1 ms up to the latency across the region.
 	dialTimeout = 250 * time.Millisecond
-	// workerLeaseTTL is also how long the batch jobs of a crashed worker wait for another worker.
-	workerLeaseTTL = 3 * time.Second
-	// renewalFraction is the part of its TTL after which a lease is renewed. One renewal may fail and the next be relayed
-	// through a peer before the lease ends.
-	renewalFraction = 0.4
-	// defaultLeaseTTL applies to the roles other than the worker; these roles have many processes. Nothing waits for their
-	// leases to end: peers notice a lost connection sooner.
-	defaultLeaseTTL        = 15 * time.Second
-	registrationRetryDelay = 300 * time.Millisecond
 )
 
 // Node connects a process to the store and to the other members. The fields from Settings to Log must be set before
@@ -242,103 +231,6 @@
 		telemetry.Err(listing.Err), zap.Duration("view_age", node.directory.age()))
 }
 
-// keepRegistered writes the member record under a lease and renews the lease until ctx ends.
-func (node *Node) keepRegistered(ctx context.Context) {
-	written := false
-	for ctx.Err() == nil {
-		pause := time.Duration(float64(node.leaseTTL()) * renewalFraction)
-		var err error
-		begun := time.Now()
-		if written {
-			err = node.Store.KeepLease(ctx, node.currentLease())
-		} else {
-			err = node.writeRegistration(ctx)
-		}
-		switch {
-		case errors.Is(err, store.ErrNoLease):
-			node.Log.Warn("lease ended")
-			written, pause = false, 0
-		case err != nil:
-			pause = registrationRetryDelay
-		default:
-			written = true
-			node.leaseRenewedAt.Store(time.Now().UnixNano())
-			node.accountLimits.register(begun.Add(node.leaseTTL()))
-		}
-		timer := time.NewTimer(pause)
-		select {
-		case <-ctx.Done():
-		case <-node.reregister:
-			written = false
-		case <-timer.C:
-		}
-		timer.Stop()
-	}
-}
-
-// leaseTTL returns the TTL of the lease for the role of this process.
-func (node *Node) leaseTTL() time.Duration {
-	if node.Role == fleet.WorkerRole {
-		return workerLeaseTTL
-	}
-	return defaultLeaseTTL
-}
-
-// currentLease returns the lease of the member record, or 0 if none has been granted.
-func (node *Node) currentLease() int64 {
-	node.leaseMutex.Lock()
-	defer node.leaseMutex.Unlock()
-	return node.lease
-}
-
-// writeRegistration writes the member record under a new lease.
-func (node *Node) writeRegistration(ctx context.Context) (err error) {
-	lease, err := node.Store.GrantLease(ctx, node.leaseTTL())
-	if err != nil {
-		return err
-	}
-	node.leaseMutex.Lock()
-	node.lease = lease
-	self := node.self
-	self.Leaving = node.leaving
-	node.leaseMutex.Unlock()
-	value, err := json.Marshal(self)
-	if err != nil {
-		return err
-	}
-	node.registrations.Add(1)
-	write := store.Write{Key: node.Records.OwnKey(memberPrefix + self.Name), Value: value, Lease: lease}
-	if _, _, err = node.Store.Commit(ctx, store.Txn{Writes: []store.Write{write}}); err == nil {
-		node.Log.Info("registered", zap.String("owner", self.ID()), zap.Int64("lease", lease), zap.Bool("leaving", self.Leaving))
-	}
-	return err
-}
-
-// AnnounceLeaving makes the member record say that this process is about to stop.
-func (node *Node) AnnounceLeaving() {
-	node.leaseMutex.Lock()
-	node.leaving = true
-	node.leaseMutex.Unlock()
-	node.requestRegistration()
-}
-
-// Deregister ends the lease and so removes the member record at once, rather than when the lease expires.
-func (node *Node) Deregister(ctx context.Context) {
-	if lease := node.currentLease(); lease != 0 {
-		if err := node.Store.RevokeLease(ctx, lease); err != nil {
-			node.Log.Warn("lease could not be ended", telemetry.Err(err))
-		}
-	}
-}
-
-// requestRegistration makes keepRegistered write the member record again.
-func (node *Node) requestRegistration() {
-	select {
-	case node.reregister <- struct{}{}:
-	default: // already requested
-	}
-}
-
 // Table returns the routing table in force, or nil if no configuration has been read yet.
 func (node *Node) Table() *routes.Table { return node.directory.table.Load() }
 
