node: a registration that is executed late does not replace a later one

Cause: the record was written without a condition. If the answer is lost, the process takes a second lease and writes the record again. When the store then executes the first write, the record is bound to the first lease, which nobody renews, and is removed with it. The process renews the second lease, which has no keys, and takes itself for registered.

The record is now written on condition of its known revision, so that of two writes of a process the store executes one; a conflict shows the revision to go on from. A process also registers again if a view newer than its registration lacks its record or has it under another lease, as after the removal by another writer. Failed registrations, conflicts and lost records are logged.

A start after a crash costs one more write, as the record of the former process is still there.

--- a/io/process/node/directory.go
+++ b/io/process/node/directory.go
@@ -52,6 +52,7 @@
 	lapsed         map[string]time.Time    // end of the grace period of engines without a record, by ID
 	refuted        map[string]time.Time    // until when engines make way for others at their address, by incarnation
 	members        map[string]fleet.Member // by name
+	selfLease      int64                   // lease of the member record of this process; 0 if it is not known
 	replaced       map[string]time.Time    // end of the grace period of members whose record can't be read any longer, by name
 	retiring       map[string]string       // keys of the records of retiring VMs, by name
 	jobs           jobrecord.Cache
@@ -181,6 +182,7 @@
 	if membersChanged {
 		directory.publishMembers(membersAsOf)
 	}
+	directory.node.verifyRegistration(membersAsOf)
 	directory.node.accountLimits.confirm(membersAsOf)
 	if membersListed {
 		directory.loaded.Store(true)
@@ -399,6 +401,20 @@
 		directory.node.requestRegistration()
 	}
 	directory.members[name] = member
+	if name == self.Name {
+		directory.selfLease = item.Lease
+	}
+}
+
+// ownLease returns the lease of the member record of this process, 0 if it is not known, and whether there is such a record.
+func (directory *directory) ownLease() (lease int64, found bool) {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	self := directory.node.self
+	if member, ok := directory.members[self.Name]; !ok || member.Incarnation != self.Incarnation {
+		return 0, false
+	}
+	return directory.selfLease, true
 }
 
 // expireReplaced removes the members whose record can't be read and that have not written it again in time.
--- a/io/process/node/node.go
+++ b/io/process/node/node.go
@@ -68,6 +68,7 @@
 	leaseRenewedAt atomic.Int64  // Unix nanoseconds of the last renewal
 	registrations  atomic.Int64  // times that this process has begun to write its member record
 	reregister     chan struct{} // requests that the member record be written again
+	recordRevision int64         // revision of the member record in the store as far as keepRegistered knows; 0 if there is none
 
 	placementMutex sync.Mutex // guards the five fields below
 	pool           placement.Pool
@@ -76,9 +77,10 @@
 	sentAt         time.Time                       // when sentCounts were broadcast
 	urgentSentAt   time.Time                       // when counts were last sent ahead of the next broadcast
 
-	leaseMutex sync.Mutex // guards the two fields below
-	lease      int64
-	leaving    bool
+	leaseMutex   sync.Mutex // guards the three fields below
+	lease        int64
+	leaving      bool
+	registeredAt time.Time // when the store had acknowledged the member record; zero while it is being written
 }
 
 // Prepare sets up the node. Store, Upstream and the methods may be used after it.
--- a/io/process/node/registration.go
+++ b/io/process/node/registration.go
@@ -23,6 +23,8 @@
 	// leases to end: peers notice a lost connection sooner.
 	defaultLeaseTTL        = 15 * time.Second
 	registrationRetryDelay = 300 * time.Millisecond
+	// maxRegistrationTries bounds the writes under one lease. Few processes write the record: this one, and the late writes of earlier ones.
+	maxRegistrationTries = 4
 )
 
 // keepRegistered writes the member record under a lease and renews the lease until ctx ends.
@@ -43,6 +45,9 @@
 			written, pause = false, 0
 		case err != nil:
 			pause = registrationRetryDelay
+			if !written {
+				node.Log.Warn("not registered yet", zap.Int64("lease", node.currentLease()), telemetry.Err(err))
+			}
 		default:
 			written = true
 			node.leaseRenewedAt.Store(time.Now().UnixNano())
@@ -74,8 +79,12 @@
 	return node.lease
 }
 
-// writeRegistration writes the member record under a new lease.
+// writeRegistration writes the member record under a new lease, on condition that the record is still the one that is known. A write whose
+// response is lost may be executed seconds later. It must not replace a later one, whose lease is the one that is renewed.
 func (node *Node) writeRegistration(ctx context.Context) (err error) {
+	node.leaseMutex.Lock()
+	node.registeredAt = time.Time{}
+	node.leaseMutex.Unlock()
 	lease, err := node.Store.GrantLease(ctx, node.leaseTTL())
 	if err != nil {
 		return err
@@ -90,11 +99,53 @@
 		return err
 	}
 	node.registrations.Add(1)
-	write := store.Write{Key: node.Records.OwnKey(memberPrefix + self.Name), Value: value, Lease: lease}
-	if _, _, err = node.Store.Commit(ctx, store.Txn{Writes: []store.Write{write}}); err == nil {
-		node.Log.Info("registered", zap.String("owner", self.ID()), zap.Int64("lease", lease), zap.Bool("leaving", self.Leaving))
+	key := node.Records.OwnKey(memberPrefix + self.Name)
+	for range maxRegistrationTries {
+		revision, current, commitErr := node.Store.Commit(ctx, store.Txn{
+			Conditions: []store.Condition{{Key: key, Revision: node.recordRevision}},
+			Writes:     []store.Write{{Key: key, Value: value, Lease: lease}},
+		})
+		if err = commitErr; err == nil {
+			node.recordRevision = revision
+		}
+		if !errors.Is(err, store.ErrConflict) {
+			break
+		}
+		node.recordRevision = revisionOf(key, current)
+		node.Log.Info("registration conflicts with a record", zap.String("owner", self.ID()), zap.Int64("lease", lease), zap.Int64("revision", node.recordRevision))
+	}
+	if err != nil {
+		return err
 	}
-	return err
+	node.leaseMutex.Lock()
+	node.registeredAt = time.Now()
+	node.leaseMutex.Unlock()
+	node.Log.Info("registered", zap.String("owner", self.ID()), zap.Int64("lease", lease), zap.Bool("leaving", self.Leaving))
+	return nil
+}
+
+// revisionOf returns the revision of the record under key among items, or 0 if there is none.
+func revisionOf(key string, items []store.Item) (revision int64) {
+	for _, item := range items {
+		if item.Key == key && !item.Deleted {
+			return item.Revision
+		}
+	}
+	return 0
+}
+
+// verifyRegistration requests that the member record be written again if a view of the store that is newer than the last registration lacks
+// it, or has it under a lease that this process does not renew.
+func (node *Node) verifyRegistration(asOf time.Time) {
+	storedLease, found := node.directory.ownLease()
+	node.leaseMutex.Lock()
+	defer node.leaseMutex.Unlock()
+	if node.registeredAt.IsZero() || !asOf.After(node.registeredAt) || found && (storedLease == 0 || storedLease == node.lease) {
+		return
+	}
+	node.registeredAt = time.Time{}
+	node.Log.Warn("member record lost", zap.Int64("lease", node.lease), zap.Int64("stored_lease", storedLease), zap.Bool("found", found))
+	node.requestRegistration()
 }
 
 // AnnounceLeaving makes the member record say that this process is about to stop.
--- a/io/process/telemetry/events.go
+++ b/io/process/telemetry/events.go
@@ -28,6 +28,9 @@
 	{"metrics not served", "error", "listening on metrics_listen failed, for example because the address is in use, or the metrics server stopped"},
 
 	{"registered", "owner lease leaving", "the member record was written to the store under a lease"},
+	{"registration conflicts with a record", "owner lease revision", "the store has another member record of this VM than this process knew, at that revision (0 for none): of an earlier process, or by a write of this one whose response was lost; the write is repeated on condition of that revision"},
+	{"not registered yet", "lease error", "the member record could not be written; it is retried"},
+	{"member record lost", "lease stored_lease found", "the view of the store lacks the member record of this process, or has it under another lease than the one that is renewed; the process registers again"},
 	{"lease ended", "", "the store no longer has the lease of the member record; the process registers again"},
 	{"lease could not be ended", "error", "the member record stays in the store until its lease expires"},
 	{"store lost", "view_age", "three consecutive store calls failed; view_age is the age of the view of the store"},
