worker: batch items don't wait behind those of a service without slots

Cause: a worker gives out items in one order, by due time, and startItems stopped at the first one without a slot unless there were client accounts. The items of the small service were due first. RecordOutcome, which gives items up, is only reached after a run.

Items now compete in lanes, one for each service. A lane without a slot is passed over for the rest of the tick, and the items of the others go on in their order; with one service, this ends the tick as before. Items whose service has no engine are given up when their job's time is over. AcquireBatch looks at the queue of its own service.

Slots are placed by the same rule as before, so that online requests of a service meet no more batch items at an engine than that rule allows; TestItemsBetweenPeaks is unchanged.

--- a/core/coordination/jobrunner/runner.go
+++ b/core/coordination/jobrunner/runner.go
@@ -24,6 +24,7 @@
 	Excluded []uint64           // digests of engines at which the item failed
 	Stalled  time.Duration      // time for which the item could not go on after that event
 	Urgency  Urgency
+	Lane     string // see Runner.Lane
 }
 
 // Outcome is how a run ended.
@@ -68,6 +69,8 @@
 	expected       time.Duration
 	expectedFrom   int       // events that the item had when expected was computed
 	expectedAt     time.Time // when expected was computed
+	lane           string
+	laneKnown      int // Runner.laneCount when lane was computed, plus 1; 0 if it was not
 }
 
 // job is a job that the process owns.
@@ -97,6 +100,11 @@
 	Expect func(job *jobrecord.Job, item jobrecord.Item, events int) time.Duration
 	Weight func(account string) float64 // share of an account relative to those of others, above 0; nil for equal shares
 
+	// Lane returns whose slots an item competes for, which is its service. Items of a lane without a slot don't hold up those of other lanes.
+	// It is called again after ResetLanes. If Lane is nil, all items are in one lane.
+	Lane func(job *jobrecord.Job, item jobrecord.Item) string
+
+	laneCount    int             // calls of ResetLanes
 	jobs         map[string]*job // by ID
 	pendingSince time.Time       // since when the oldest uncommitted results wait; zero if there are none
 	pause        time.Duration   // see Pause
@@ -150,18 +158,15 @@
 
 // Next returns a run of the item to run next and marks the item as running. Items with the fewest interruptions come first, among them
 // those of the account with the fewest running items for its weight, then those that can still be in time, the endangered ones first, those
-// of the job with the earliest due time, and the items with the most progress. Items of the jobs in passedOver are left out. It returns
+// of the job with the earliest due time, and the items with the most progress. Items of the blocked lanes are left out. It returns
 // false if no item can be run at the given time.
-func (runner *Runner) Next(now time.Time, passedOver map[string]bool) (run ItemRun, ok bool) {
+func (runner *Runner) Next(now time.Time, blocked map[string]bool) (run ItemRun, ok bool) {
 	var chosen contender
 	running := runner.runningByAccount()
 	for _, job := range runner.jobs {
-		if passedOver[job.ID] {
-			continue
-		}
 		share := runner.shareOf(job, running)
 		for _, item := range job.items {
-			if item.running || item.done || now.Before(item.notBefore) {
+			if item.running || item.done || now.Before(item.notBefore) || len(blocked) > 0 && blocked[runner.laneOf(job, item)] {
 				continue
 			}
 			if added := runner.contenderOf(now, job, item, share); chosen.item == nil || added.runsBefore(chosen) {
@@ -173,7 +178,7 @@
 		return run, false
 	}
 	chosen.item.running = true
-	run = ItemRun{Job: chosen.job.Job, Item: chosen.item.Item, Progress: chosen.item.progress, Urgency: chosen.urgency}
+	run = ItemRun{Job: chosen.job.Job, Item: chosen.item.Item, Progress: chosen.item.progress, Urgency: chosen.urgency, Lane: runner.laneOf(chosen.job, chosen.item)}
 	if !chosen.item.stalledSince.IsZero() {
 		run.Stalled = now.Sub(chosen.item.stalledSince)
 	}
--- a/core/coordination/jobrunner/runner_test.go
+++ b/core/coordination/jobrunner/runner_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -31,7 +32,8 @@
 func TestRunner(t *testing.T) {
 	datadriven.Walk(t, "testdata/runner", func(t *testing.T, path string) {
 		runner, now := &Runner{}, start
-		running := map[string]ItemRun{}
+		running, lanes := map[string]ItemRun{}, map[string]string{}
+		runner.Lane = func(job *jobrecord.Job, _ jobrecord.Item) string { return lanes[job.ID] }
 		datadriven.RunTest(t, path, func(t *testing.T, data *datadriven.TestData) string {
 			var out strings.Builder
 			for line := range strings.Lines(data.Input) {
@@ -55,6 +57,18 @@
 					runner.Add(jobrecord.View{Job: newJob(words[1], dueAfter, items), Ownership: jobrecord.VersionedOwnership{Epoch: epoch}}, 3, nil)
 				case "account": // account JOB NAME
 					runner.jobs[words[1]].Account = words[2]
+				case "lane": // lane JOB LANE
+					lanes[words[1]] = words[2]
+					runner.ResetLanes()
+				case "start-items": // start-items LIMIT [LANE=SLOTS ...]; other lanes have no slot
+					var limit int
+					_, err := fmt.Sscan(words[1], &limit)
+					must(t, err)
+					fmt.Fprintln(&out, "backlog:", runner.StartItems(now, limit, slotsOf(t, words[2:], func(run ItemRun) { fmt.Fprintln(&out, run.Item.ID) })))
+				case "abandon-overdue": // abandon-overdue [LANE ...], which are the ones that can be served
+					for _, result := range runner.AbandonOverdue(now, func(lane string) bool { return slices.Contains(words[1:], lane) }) {
+						fmt.Fprintln(&out, result.ID, result.State)
+					}
 				case "work": // work DURATION, of an item without events; each event takes 100ms
 					work, err := time.ParseDuration(words[1])
 					must(t, err)
@@ -111,6 +125,25 @@
 	})
 }
 
+// slotsOf returns a function that starts items while their lanes have slots, given as LANE=SLOTS.
+func slotsOf(t *testing.T, words []string, started func(run ItemRun)) func(run ItemRun) Started {
+	slots := map[string]int{}
+	for _, word := range words {
+		lane, count, _ := strings.Cut(word, "=")
+		free, err := strconv.Atoi(count)
+		must(t, err)
+		slots[lane] = free
+	}
+	return func(run ItemRun) Started {
+		if slots[run.Lane] == 0 {
+			return NoSlot
+		}
+		slots[run.Lane]--
+		started(run)
+		return Running
+	}
+}
+
 func must(t *testing.T, err error) {
 	t.Helper()
 	if err != nil {
--- a/core/coordination/placement/batch.go
+++ b/core/coordination/placement/batch.go
@@ -21,9 +21,9 @@
 )
 
 // AcquireBatch places a batch item at the least loaded healthy engine that still has batchHeadroom slots free afterwards.
-// It places none while online requests wait in the queue.
+// It places none while online requests for the same service wait in the queue.
 func (pool *Pool) AcquireBatch(now time.Time, request Request) (chosen fleet.Engine, ok bool) {
-	if len(pool.queue) > 0 {
+	if slices.ContainsFunc(pool.queue, func(waiter waiter) bool { return waiter.request.Service == request.Service }) {
 		return chosen, false
 	}
 	hasRoom := func(engine *engine) bool {
--- a/core/coordination/placement/health.go
+++ b/core/coordination/placement/health.go
@@ -58,6 +58,11 @@
 	})
 }
 
+// HasEngines reports whether a service has an engine that takes requests, at once or later.
+func (pool *Pool) HasEngines(now time.Time, service string) bool {
+	return slices.ContainsFunc(pool.enginesByService[service], func(engine *engine) bool { return !engine.Draining && !pool.isLeaving(now, engine.digest) })
+}
+
 // RecordFailure ejects an engine that closed a connection early, did not accept one, or sent nothing within the idle
 // timeout. It returns the end of the ejection and the number of consecutive failures, or zero values for an unknown engine.
 func (pool *Pool) RecordFailure(now time.Time, descriptor fleet.Engine) (until time.Time, failures int) {
--- a/core/coordination/placement/placement_test.go
+++ b/core/coordination/placement/placement_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -69,7 +70,7 @@
 	case "online":
 		return script.online(arguments)
 	case "batch":
-		engine, ok := script.pool.AcquireBatch(script.now, Request{Service: "llm"})
+		engine, ok := script.pool.AcquireBatch(script.now, Request{Service: cmp.Or(arguments["service"], "llm")})
 		if !ok {
 			return "no free slot"
 		}
@@ -120,7 +121,7 @@
 	return ""
 }
 
-// setEngines replaces the engines, each given as ID:SLOTS, ID:SLOTS:draining or ID:SLOTS:restarted.
+// setEngines replaces the engines, each given as ID:SLOTS, ID:SLOTS:draining, ID:SLOTS:restarted or, of another service, ID:SLOTS:other.
 func (script *script) setEngines(words []string) string {
 	var engines []fleet.Engine
 	for _, word := range words {
@@ -132,6 +133,9 @@
 		if slices.Contains(parts[2:], "restarted") {
 			engine.StartUnixMilli = 1
 		}
+		if slices.Contains(parts[2:], "other") {
+			engine.Service = "other"
+		}
 		engines = append(engines, engine)
 		script.engines[engine.ID] = engine
 	}
@@ -159,7 +163,7 @@
 	return ""
 }
 
-// online places online requests, with the arguments wait (time until the deadline, 240 ms by default), times (1 by default)
+// online places online requests, with the arguments service, wait (time until the deadline, 240 ms by default), times (1 by default)
 // and prefix (digest and tokens of the shared part of the prompt), and returns the decisions and how often each was made.
 func (script *script) online(arguments map[string]string) string {
 	wait := 240 * time.Millisecond
@@ -181,7 +185,7 @@
 	_, skipEjected := arguments["skip-ejected"]
 	summary := map[string]int{}
 	for range times {
-		decision := script.pool.AcquireOnline(script.now, Request{Service: "llm", Deadline: script.now.Add(wait), Prefix: prefix, SkipEjected: skipEjected})
+		decision := script.pool.AcquireOnline(script.now, Request{Service: cmp.Or(arguments["service"], "llm"), Deadline: script.now.Add(wait), Prefix: prefix, SkipEjected: skipEjected})
 		summary[describe(decision)]++
 	}
 	var lines []string
--- a/io/process/node/placement.go
+++ b/io/process/node/placement.go
@@ -207,6 +207,16 @@
 	return node.pool.AcquireBatch(time.Now(), request)
 }
 
+// HasEngines reports whether a service has an engine that takes requests, or the engines have not been listed yet.
+func (node *Node) HasEngines(service string) bool {
+	if !node.directory.loaded.Load() {
+		return true
+	}
+	node.placementMutex.Lock()
+	defer node.placementMutex.Unlock()
+	return node.pool.HasEngines(time.Now(), service)
+}
+
 // SetBatchBacklog records whether batch items of this process wait for a slot.
 func (node *Node) SetBatchBacklog(waiting bool) {
 	node.placementMutex.Lock()
--- a/io/process/telemetry/events.go
+++ b/io/process/telemetry/events.go
@@ -111,6 +111,7 @@
 	{"item withheld", "job request fingerprint part ends until abandoned", "engines ended under the item; it does not run until then, or is given up if abandoned is set"},
 	{"trial claimed", "request fingerprint part ends error", "this process tried to claim the run of a quarantined request or item that is due after so many engine ends; error is set if that failed, for example because another process runs it"},
 	{"item given up: it has no route", "job request configuration", "no route matches the item; its result is an error"},
+	{"item given up: its service has no engine", "request", "the time of the item's job is over, and no engine of its service takes requests; its result is an error"},
 	{"results not written yet", "writes error", "writing results failed; the same write is retried"},
 	{"results could not be encoded", "error", "results could not be encoded for the store; this is a bug"},
 	{"counter ignored", "key error omitted", "the record with the tokens that were accepted on a route could not be decoded; omitted is the number of such lines that were left out before it"},
--- a/io/process/worker/worker.go
+++ b/io/process/worker/worker.go
@@ -61,6 +61,7 @@
 	conflicts     map[string]jobrunner.StoredState  // of jobs that the view may show as they were before, by job ID
 	refusedClaims map[string]refusedClaim           // by job ID
 	trials        map[poisonpill.Fingerprint]*trial // of withheld items
+	table         *routes.Table                     // by which items go to services
 }
 
 // action changes the state of a Worker. The goroutine that runs control runs all actions, one after the other.
@@ -84,7 +85,7 @@
 	worker.retired, worker.conflicts = map[string]bool{}, map[string]jobrunner.StoredState{}
 	worker.trials, worker.refusedClaims = map[poisonpill.Fingerprint]*trial{}, map[string]refusedClaim{}
 	worker.actions = make(chan action, 256)
-	worker.runner.Expect, worker.runner.Weight = worker.orderingWork, worker.accountWeight
+	worker.runner.Expect, worker.runner.Weight, worker.runner.Lane = worker.orderingWork, worker.accountWeight, worker.serviceOf
 	worker.checkpoints = checkpointFiles{directory: worker.Node.Settings.DataDirectory, log: worker.Log}
 	worker.savedProgress = worker.checkpoints.open()
 	telemetry.JobsOwned.Set(func() float64 { return float64(worker.ownedJobs.Load()) })
@@ -141,7 +142,7 @@
 // scan adopts, claims and drops jobs according to the view of the store, and handles retirements and ended jobs.
 func (worker *Worker) scan(ctx context.Context) {
 	table := worker.Node.Table()
-	if table == nil {
+	if !worker.useTable(table) {
 		return
 	}
 	workers := worker.Node.Members(fleet.WorkerRole)
@@ -195,6 +196,7 @@
 	for _, view := range toClaim {
 		worker.claim(ctx, view)
 	}
+	worker.abandonOverdue(worker.scannedAt)
 	worker.handleRetirements(ctx, workers)
 	worker.sweep(ctx, time.Now(), workers)
 }
@@ -292,55 +294,70 @@
 // startItems starts items while engines have free slots, and reports to the node whether items wait for one.
 func (worker *Worker) startItems(ctx context.Context, now time.Time) {
 	backlog := false
-	table := worker.Node.Table()
-	passedOver := map[string]bool{} // IDs of jobs whose service has no slot
-	for table != nil && len(worker.running) < maxRunningItems && !worker.stopping {
-		itemRun, ok := worker.runner.Next(now, passedOver)
-		if !ok {
-			break
-		}
-		route, ok := table.Match(itemRun.Job.Host, itemRun.Item.Path)
-		if !ok {
-			worker.runner.FailItem(itemRun)
-			worker.Log.Info("item given up: it has no route", zap.String("job", itemRun.Job.ID), zap.String("request", itemRun.Item.ID), zap.Int64("configuration", table.Version))
-			continue
-		}
-		if worker.withhold(ctx, now, itemRun) {
-			continue
-		}
-		request := placement.Request{Service: route.SelectService(itemRun.Item.ID), Domain: worker.Node.Settings.FailureDomain, Due: itemRun.Job.Due}
-		request.Work = worker.expectItem(itemRun.Job, itemRun.Item, len(itemRun.Progress.Data))
-		if itemRun.Progress.LastEventID != "" {
-			itemRun, request.Version = worker.resumeAt(itemRun, request.Service)
-		}
-		stalled := request.Version != "" && itemRun.Stalled >= buildPatience
-		if stalled {
-			request.Version = ""
-		}
-		engine, ok := worker.Node.AcquireBatch(request)
-		if !ok && request.Version != "" {
-			worker.runner.AwaitBuild(now, itemRun)
-			backlog = true
-			continue // other items may go to engines of other versions
-		}
-		if ok && stalled && engine.Build() != itemRun.Progress.Build {
-			itemRun = worker.restartItem(itemRun, "it could not go on at the software version that began it")
-		}
-		if !ok {
-			worker.runner.Requeue(itemRun)
-			backlog = true
-			if len(table.Services) < 2 || !worker.Node.Accounts().HasAccounts() {
-				break
-			}
-			// By its share, an account whose service has no slot stays first, and must not delay the others.
-			passedOver[itemRun.Job.ID] = true
-			continue
-		}
-		worker.startItem(ctx, itemRun, engine)
+	if worker.useTable(worker.Node.Table()) && !worker.stopping {
+		backlog = worker.runner.StartItems(now, maxRunningItems-len(worker.running), func(itemRun jobrunner.ItemRun) jobrunner.Started {
+			return worker.tryItem(ctx, now, itemRun)
+		})
 	}
 	worker.Node.SetBatchBacklog(backlog)
 }
 
+// useTable makes items go by a routing table. It reports whether there is one.
+func (worker *Worker) useTable(table *routes.Table) (ok bool) {
+	if table != worker.table {
+		worker.table = table
+		worker.runner.ResetLanes()
+	}
+	return table != nil
+}
+
+// serviceOf returns the service that runs an item, or nothing if no route matches it.
+func (worker *Worker) serviceOf(job *jobrecord.Job, item jobrecord.Item) (service string) {
+	route, _ := worker.table.Match(job.Host, item.Path)
+	return route.SelectService(item.ID)
+}
+
+// tryItem starts an item if an engine of its service has a free slot.
+func (worker *Worker) tryItem(ctx context.Context, now time.Time, itemRun jobrunner.ItemRun) (started jobrunner.Started) {
+	if _, ok := worker.table.Match(itemRun.Job.Host, itemRun.Item.Path); !ok {
+		worker.runner.FailItem(itemRun)
+		worker.Log.Info("item given up: it has no route", zap.String("job", itemRun.Job.ID), zap.String("request", itemRun.Item.ID), zap.Int64("configuration", worker.table.Version))
+		return jobrunner.Deferred
+	}
+	if worker.withhold(ctx, now, itemRun) {
+		return jobrunner.Deferred
+	}
+	request := placement.Request{Service: itemRun.Lane, Domain: worker.Node.Settings.FailureDomain, Due: itemRun.Job.Due}
+	request.Work = worker.expectItem(itemRun.Job, itemRun.Item, len(itemRun.Progress.Data))
+	if itemRun.Progress.LastEventID != "" {
+		itemRun, request.Version = worker.resumeAt(itemRun, request.Service)
+	}
+	stalled := request.Version != "" && itemRun.Stalled >= buildPatience
+	if stalled {
+		request.Version = ""
+	}
+	engine, ok := worker.Node.AcquireBatch(request)
+	switch {
+	case !ok && request.Version != "":
+		worker.runner.AwaitBuild(now, itemRun)
+		return jobrunner.Awaiting // other items may go to engines of other versions
+	case !ok:
+		return jobrunner.NoSlot
+	case stalled && engine.Build() != itemRun.Progress.Build:
+		itemRun = worker.restartItem(itemRun, "it could not go on at the software version that began it")
+	}
+	worker.startItem(ctx, itemRun, engine)
+	return jobrunner.Running
+}
+
+// abandonOverdue gives up the items whose service has no engine, and whose job has reached the time after which its items may be abandoned.
+func (worker *Worker) abandonOverdue(now time.Time) {
+	abandoned := worker.runner.AbandonOverdue(now, worker.Node.HasEngines)
+	for _, result := range abandoned {
+		worker.Log.Info("item given up: its service has no engine", zap.String("request", result.ID))
+	}
+}
+
 // resumeAt returns the software version at which the output of an item may go on. If there is none, the item starts from the beginning,
 // at any version.
 func (worker *Worker) resumeAt(itemRun jobrunner.ItemRun, service string) (run jobrunner.ItemRun, version string) {
