jobrunner: chunks of results are bounded by their encoded size

Cause: PrepareCommit bounded the texts and not the JSON in which they are written.

The encoded size of a result is computed where it is queued, and a chunk holds as many as fit into max_record_bytes, a new setting. A text that is longer than one value is written in parts, one a chunk; View.WithChunk joins them, and leaves out the parts of a former owner. A transaction that the store refuses for what it holds is no longer sent again as it is: its jobs are committed alone, and those that are refused alone after 1 to 30 s.

Which items run, and where, does not change.

--- a/core/coordination/jobrunner/collect.go
+++ b/core/coordination/jobrunner/collect.go
@@ -18,13 +18,13 @@
 	}
 	chunks, size, nearlyDue := 0, 0, false
 	for _, job := range runner.jobs {
-		if len(job.pending) == 0 {
+		if len(job.pending) == 0 || now.Before(job.commitAfter) {
 			continue
 		}
 		chunks++
 		nearlyDue = nearlyDue || now.Add(dueLead).After(job.Due)
 		for _, result := range job.pending {
-			size += len(result.Text)
+			size += result.text
 		}
 	}
 	if chunks == 0 {
--- a/core/coordination/jobrunner/collect_test.go
+++ b/core/coordination/jobrunner/collect_test.go
@@ -45,7 +45,7 @@
 					continue
 				}
 				commits++
-				for _, write := range runner.PrepareCommit() {
+				for _, write := range runner.PrepareCommit(now) {
 					for _, result := range write.Chunk.Results {
 						longest = max(longest, now.Sub(waiting[result.ID]))
 					}
--- a/core/coordination/jobrunner/lane.go
+++ b/core/coordination/jobrunner/lane.go
@@ -70,7 +70,7 @@
 				continue
 			}
 			result := jobrecord.Result{ID: item.ID, State: jobrecord.Failed}
-			job.addResult(item, result)
+			runner.addResult(job, item, result)
 			abandoned = append(abandoned, result)
 		}
 	}
--- a/core/coordination/jobrunner/rhythm_test.go
+++ b/core/coordination/jobrunner/rhythm_test.go
@@ -235,7 +235,7 @@
 				running: RunningItem{Due: run.Job.Due, Started: now, Work: request.Work},
 			})
 		}
-		for runner.PrepareCommit() != nil {
+		for runner.PrepareCommit(now) != nil {
 			runner.ApplyCommit()
 		}
 	}
--- a/core/coordination/jobrunner/runner.go
+++ b/core/coordination/jobrunner/runner.go
@@ -1,6 +1,7 @@
 package jobrunner
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -12,8 +13,11 @@
 	baseInterruptedDelay = 200 * time.Millisecond // first retry delay of an item whose run was interrupted without a new event
 	maxInterruptedDelay  = 5 * time.Second        // a crashed engine is back after some seconds
 	buildDelay           = 100 * time.Millisecond // until an item is tried again whose build has no free slot
-	maxCommitChunks      = 10                     // each takes 3 of the 32 conditions and writes that a transaction may have
-	maxCommitBytes       = 900 << 10              // total size of the result texts in one transaction
+	baseRefusedDelay     = time.Second            // until results are committed again that the store refused
+	maxRefusedDelay      = 30 * time.Second
+	maxCommitChunks      = 10        // each takes 3 of the 32 conditions and writes that a transaction may have
+	maxCommitBytes       = 900 << 10 // total encoded size of the texts in one transaction
+	defaultChunkBytes    = 1 << 20
 )
 
 // ItemRun is one run of an item at an engine.
@@ -80,11 +84,26 @@
 	epoch       int64
 	nextChunk   int // number of the next chunk
 	items       []*item
-	uncommitted int                // items without a committed result
-	pending     []jobrecord.Result // results that are not committed yet
-	maxAttempts int                // runs that may end as Errored before the item fails
+	uncommitted int             // items without a committed result
+	pending     []pendingResult // results that are not committed yet
+	maxAttempts int             // runs that may end as Errored before the item fails
+	refusals    int             // consecutive commits that the store refused
+	commitAfter time.Time       // earliest next commit after a refusal
 }
 
+// pendingResult is a result, or a part of one, that is not committed yet.
+type pendingResult struct {
+	jobrecord.Result
+
+	size int  // when it is encoded, at most
+	text int  // size of the encoded text
+	part int  // number of the part, from 0
+	more bool // the text goes on in the next part
+}
+
+// isPart reports whether the result has a chunk of its own.
+func (pending pendingResult) isPart() bool { return pending.part > 0 || pending.more }
+
 // ChunkWrite is a chunk of results of one job, to be written only if the job's ownership record still has the epoch.
 type ChunkWrite struct {
 	Job    string // job ID
@@ -97,8 +116,9 @@
 type Runner struct {
 	// Expect returns the expected work of an item beyond the events that it has had, in time at a usual engine; 0 means unknown. If Expect
 	// is nil, no work is known.
-	Expect func(job *jobrecord.Job, item jobrecord.Item, events int) time.Duration
-	Weight func(account string) float64 // share of an account relative to those of others, above 0; nil for equal shares
+	Expect        func(job *jobrecord.Job, item jobrecord.Item, events int) time.Duration
+	Weight        func(account string) float64 // share of an account relative to those of others, above 0; nil for equal shares
+	MaxChunkBytes int                          // size that an encoded chunk may have; 0 for the default
 
 	// Lane returns whose slots an item competes for, which is its service. Items of a lane without a slot don't hold up those of other lanes.
 	// It is called again after ResetLanes. If Lane is nil, all items are in one lane.
@@ -215,7 +235,7 @@
 	item.running = false
 	job := runner.jobs[run.Job.ID]
 	if !now.Before(job.AbandonAfter) {
-		job.addResult(item, jobrecord.Result{ID: item.ID, State: jobrecord.Failed})
+		runner.addResult(job, item, jobrecord.Result{ID: item.ID, State: jobrecord.Failed})
 		return true
 	}
 	item.notBefore = until
@@ -281,12 +301,12 @@
 	}
 	switch outcome {
 	case Finished:
-		job.addResult(item, jobrecord.Result{ID: item.ID, State: jobrecord.Completed, Text: joinLines(progress.Data)})
+		runner.addResult(job, item, jobrecord.Result{ID: item.ID, State: jobrecord.Completed, Text: joinLines(progress.Data)})
 	case Invalid:
-		job.addResult(item, jobrecord.Result{ID: item.ID, State: jobrecord.Failed})
+		runner.addResult(job, item, jobrecord.Result{ID: item.ID, State: jobrecord.Failed})
 	case Errored:
 		if item.errorResponses++; item.errorResponses >= job.maxAttempts {
-			job.addResult(item, jobrecord.Result{ID: item.ID, State: jobrecord.Failed})
+			runner.addResult(job, item, jobrecord.Result{ID: item.ID, State: jobrecord.Failed})
 			return
 		}
 		item.notBefore = now.Add(retryDelay)
@@ -303,7 +323,7 @@
 		item.stoppedAt = now
 	}
 	if !item.done && now.After(job.AbandonAfter) {
-		job.addResult(item, jobrecord.Result{ID: item.ID, State: jobrecord.Failed})
+		runner.addResult(job, item, jobrecord.Result{ID: item.ID, State: jobrecord.Failed})
 	}
 }
 
@@ -311,16 +331,25 @@
 func (runner *Runner) FailItem(run ItemRun) {
 	if item := runner.findItem(run); item != nil {
 		item.running = false
-		runner.jobs[run.Job.ID].addResult(item, jobrecord.Result{ID: item.ID, State: jobrecord.Failed})
+		runner.addResult(runner.jobs[run.Job.ID], item, jobrecord.Result{ID: item.ID, State: jobrecord.Failed})
 	}
 }
 
-// addResult marks an item as done and queues its result for a commit.
-func (job *job) addResult(item *item, result jobrecord.Result) {
+// addResult marks an item as done and queues its result for a commit, in parts if one chunk does not hold it.
+func (runner *Runner) addResult(job *job, item *item, result jobrecord.Result) {
 	item.done = true
-	job.pending = append(job.pending, result)
+	parts := []jobrecord.Result{result}
+	if maxBytes := runner.maxChunkBytes(); result.EncodedBytes() > jobrecord.MaxResultBytes(maxBytes) {
+		parts = result.Split(maxBytes)
+	}
+	for number, part := range parts {
+		job.pending = append(job.pending, pendingResult{Result: part, size: part.EncodedBytes(), text: part.TextBytes(), part: number, more: number+1 < len(parts)})
+	}
 }
 
+// maxChunkBytes returns the size that an encoded chunk may have.
+func (runner *Runner) maxChunkBytes() int { return cmp.Or(runner.MaxChunkBytes, defaultChunkBytes) }
+
 // joinLines returns the lines separated by newlines.
 func joinLines(data []string) (text string) {
 	size := 0
@@ -337,9 +366,9 @@
 	return string(buffer)
 }
 
-// PrepareCommit returns the chunks to be committed in one transaction, or nil if there are no uncommitted results. It returns
-// the same chunks again until ApplyCommit or ResolveConflict is called.
-func (runner *Runner) PrepareCommit() []ChunkWrite {
+// PrepareCommit returns the chunks to be committed in one transaction, or nil if there are no uncommitted results that may be committed now. It
+// returns the same chunks again until ApplyCommit, ResolveConflict or RefuseCommit is called.
+func (runner *Runner) PrepareCommit(now time.Time) []ChunkWrite {
 	if len(runner.inFlight) > 0 {
 		return runner.inFlight
 	}
@@ -347,24 +376,59 @@
 	size := 0
 	for _, id := range runner.IDs() {
 		job := runner.jobs[id]
-		if len(job.pending) == 0 || len(runner.inFlight) == maxCommitChunks {
+		if len(job.pending) == 0 || now.Before(job.commitAfter) || len(runner.inFlight) == maxCommitChunks {
 			continue
 		}
-		count := 0
-		for _, result := range job.pending {
-			if size += len(result.Text); size > maxCommitBytes && count+len(runner.inFlight) > 0 {
-				break
-			}
-			count++
+		if job.refusals > 0 && len(runner.inFlight) > 0 {
+			continue // its chunk is committed alone, so that a refusal concerns no other
+		}
+		chunk, textBytes := job.nextChunkOf(jobrecord.MaxResultBytes(runner.maxChunkBytes()), maxCommitBytes-size)
+		if size += textBytes; size > maxCommitBytes && len(runner.inFlight) > 0 {
+			break
 		}
-		if count == 0 {
+		runner.inFlight = append(runner.inFlight, ChunkWrite{Job: id, Epoch: job.epoch, Number: job.nextChunk, Chunk: chunk})
+		if job.refusals > 0 {
 			break
 		}
-		runner.inFlight = append(runner.inFlight, ChunkWrite{Job: id, Epoch: job.epoch, Number: job.nextChunk, Chunk: jobrecord.Chunk{Results: slices.Clone(job.pending[:count])}})
 	}
 	return runner.inFlight
 }
 
+// nextChunkOf returns the next chunk of a job with pending results, and the size of its encoded texts. If it has several results, these have at
+// most maxBytes and their texts at most maxTextBytes when they are encoded.
+func (job *job) nextChunkOf(maxBytes, maxTextBytes int) (chunk jobrecord.Chunk, textBytes int) {
+	size := 0
+	for _, result := range job.pending {
+		if len(chunk.Results) > 0 && (result.isPart() || size+result.size > maxBytes || textBytes+result.text > maxTextBytes) {
+			break
+		}
+		size, textBytes = size+result.size, textBytes+result.text
+		chunk.Results = append(chunk.Results, result.Result)
+		if result.isPart() {
+			chunk.Part, chunk.More = result.part, result.more
+			break
+		}
+	}
+	return chunk, textBytes
+}
+
+// RefuseCommit updates the runner after the store has refused the chunks of the last PrepareCommit for what they hold. Each of their jobs is
+// then committed alone, and after further refusals only now and then, so that it does not hold up the others.
+func (runner *Runner) RefuseCommit(now time.Time) {
+	alone := len(runner.inFlight) == 1
+	for _, write := range runner.inFlight {
+		job, ok := runner.jobs[write.Job]
+		if !ok || job.epoch != write.Epoch {
+			continue
+		}
+		if alone {
+			job.commitAfter = now.Add(min(maxRefusedDelay, baseRefusedDelay<<min(job.refusals, 8)))
+		}
+		job.refusals++
+	}
+	runner.inFlight = nil
+}
+
 // ApplyCommit updates the runner after the store has accepted the chunks of the last PrepareCommit. It removes the jobs whose
 // results are now all committed and returns their IDs.
 func (runner *Runner) ApplyCommit() (complete []string) {
@@ -385,7 +449,11 @@
 		return false
 	}
 	job.nextChunk++
+	job.refusals, job.commitAfter = 0, time.Time{}
 	job.pending = job.pending[len(write.Chunk.Results):]
+	if write.Chunk.More {
+		return false
+	}
 	if job.uncommitted -= len(write.Chunk.Results); job.uncommitted == 0 {
 		delete(runner.jobs, write.Job)
 		return true
--- a/core/coordination/jobrunner/runner_test.go
+++ b/core/coordination/jobrunner/runner_test.go
@@ -101,8 +101,27 @@
 					until, err := time.ParseDuration(words[2])
 					must(t, err)
 					fmt.Fprintln(&out, "abandoned:", runner.Withhold(now, running[words[1]], start.Add(until)))
+				case "max-chunk-bytes":
+					_, err := fmt.Sscan(words[1], &runner.MaxChunkBytes)
+					must(t, err)
+				case "finish": // finish ITEM BYTES, with a text of so many quotation marks
+					var size int
+					_, err := fmt.Sscan(words[2], &size)
+					must(t, err)
+					runner.RecordOutcome(now, running[words[1]], Finished, jobrecord.Progress{LastEventID: "1", Data: []string{strings.Repeat(`"`, size)}})
+				case "commit-sizes": // of the encoded chunks, which must not exceed the bound
+					for _, write := range runner.PrepareCommit(now) {
+						value, err := jobrecord.Encode(write.Chunk)
+						must(t, err)
+						fmt.Fprintf(&out, "%s chunk %d: %d results, part %d, more: %t\n", write.Job, write.Number, len(write.Chunk.Results), write.Chunk.Part, write.Chunk.More)
+						if len(value) > runner.MaxChunkBytes {
+							t.Errorf("%s: the chunk has %d bytes", data.Pos, len(value))
+						}
+					}
+				case "refused":
+					runner.RefuseCommit(now)
 				case "commit":
-					for _, write := range runner.PrepareCommit() {
+					for _, write := range runner.PrepareCommit(now) {
 						fmt.Fprintf(&out, "%s chunk %d, epoch %d: %+v\n", write.Job, write.Number, write.Epoch, write.Chunk.Results)
 					}
 				case "committed":
@@ -302,7 +321,7 @@
 
 // commit sends a worker's next commit to the store. The write or its response may be lost, and the write may be delayed.
 func (model *model) commit(runner *Runner) {
-	writes := runner.PrepareCommit()
+	writes := runner.PrepareCommit(model.now)
 	if len(writes) == 0 {
 		return
 	}
--- a/core/state/jobrecord/jobrecord.go
+++ b/core/state/jobrecord/jobrecord.go
@@ -78,9 +78,11 @@
 	Text  string `json:"text,omitempty"`
 }
 
-// Chunk is a record of results that were written together.
+// Chunk is a record of results that were written together. A result that is too long for one record is alone in several chunks in a row.
 type Chunk struct {
 	Results []Result `json:"results"`
+	Part    int      `json:"part,omitempty"` // number of the part of the only result, from 0
+	More    bool     `json:"more,omitempty"` // the text of the only result goes on in the next chunk
 }
 
 // The prefixes of the keys of job records. In a key, the job ID follows the prefix.
@@ -122,6 +124,31 @@
 	Results   []Result // in the order of their chunks
 	Chunks    int      // number of chunks in Results
 	Waiting   int64    // tokens of the items without a result; 0 if the job has ended
+
+	partial Result // result whose text goes on in the next chunk
+	parts   int    // parts of partial; 0 if there is none
+}
+
+// WithChunk returns a copy of view with the results of its next chunk. The results of view are not changed.
+func (view View) WithChunk(chunk Chunk) View {
+	results := view.Results[:len(view.Results):len(view.Results)]
+	view.Chunks++
+	for _, result := range chunk.Results {
+		if chunk.Part > 0 {
+			if chunk.Part != view.parts || result.ID != view.partial.ID {
+				continue // the parts before it are missing
+			}
+			result.Text = view.partial.Text + result.Text
+		}
+		view.partial, view.parts = Result{}, 0
+		if chunk.More {
+			view.partial, view.parts = result, chunk.Part+1
+		} else {
+			results = append(results, result)
+		}
+	}
+	view.Results = results
+	return view
 }
 
 // countWaiting sets Waiting, and returns by how much it has decreased.
@@ -287,8 +314,6 @@
 			return nil
 		}
 		delete(cache.chunks[id], view.Chunks)
-		// Views returned earlier share the old slice, so it must not be extended in place.
-		view.Results = append(view.Results[:len(view.Results):len(view.Results)], next.Results...)
-		view.Chunks++
+		*view = view.WithChunk(next)
 	}
 }
--- a/io/process/ingress/jobs.go
+++ b/io/process/ingress/jobs.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -275,8 +274,7 @@
 			server.Log.Warn("batch record ignored", zap.String("key", record.Key), telemetry.Err(err))
 			return view
 		}
-		view.Results = append(slices.Clip(view.Results), chunk.Results...) // the cache shares the old slice
-		view.Chunks++
+		view.View = view.WithChunk(chunk)
 	}
 	return view
 }
--- a/io/process/settings/member.go
+++ b/io/process/settings/member.go
@@ -10,20 +10,22 @@
 // Member holds the settings of an ingress, worker or reporter process, which runs on a platform whose store lists the engines
 // and the configuration.
 type Member struct {
-	Name          string          `json:"name"`           // of the VM
-	Place         string          `json:"place"`          // region of the VM
-	FailureDomain string          `json:"failure_domain"` // of the VM, within the place
-	Listen        string          `json:"listen"`         // HTTP address for callers; empty for processes without callers
-	ReadyListen   string          `json:"ready_listen"`   // HTTP address for the load balancer's readiness check; empty for processes without callers
-	MetricsListen string          `json:"metrics_listen"` // HTTP address for the operators' metrics collector; empty for none
-	Engine        string          `json:"engine"`         // IP and port of the engine on this VM; empty for none
-	PeerListen    string          `json:"peer_listen"`    // QUIC address for the other members
-	DataDirectory string          `json:"data_directory"` // on a disk that may be lost; empty disables checkpoints
-	StoreAddress  string          `json:"store_address"`  // IP and port of the key-value service
-	MemoryMB      float64         `json:"memory_mb"`      // memory limit, beyond which the platform kills the process
-	Cores         float64         `json:"cores"`          // CPU limit
-	GracePeriod   config.Duration `json:"grace_period"`   // from SIGTERM to SIGKILL
-	LogLevel      string          `json:"log_level"`      // debug, info, warn or error
+	Name          string `json:"name"`           // of the VM
+	Place         string `json:"place"`          // region of the VM
+	FailureDomain string `json:"failure_domain"` // of the VM, within the place
+	Listen        string `json:"listen"`         // HTTP address for callers; empty for processes without callers
+	ReadyListen   string `json:"ready_listen"`   // HTTP address for the load balancer's readiness check; empty for processes without callers
+	MetricsListen string `json:"metrics_listen"` // HTTP address for the operators' metrics collector; empty for none
+	Engine        string `json:"engine"`         // IP and port of the engine on this VM; empty for none
+	PeerListen    string `json:"peer_listen"`    // QUIC address for the other members
+	DataDirectory string `json:"data_directory"` // on a disk that may be lost; empty disables checkpoints
+	StoreAddress  string `json:"store_address"`  // IP and port of the key-value service
+	// MaxRecordBytes is the size of a value that the key-value service takes.
+	MaxRecordBytes int64           `json:"max_record_bytes"`
+	MemoryMB       float64         `json:"memory_mb"`    // memory limit, beyond which the platform kills the process
+	Cores          float64         `json:"cores"`        // CPU limit
+	GracePeriod    config.Duration `json:"grace_period"` // from SIGTERM to SIGKILL
+	LogLevel       string          `json:"log_level"`    // debug, info, warn or error
 
 	// QuotaOvershoot is the share of a route's bound on waiting tokens by which processes that do not know of each other's jobs
 	// yet may exceed it.
@@ -46,7 +48,7 @@
 // ReadMember reads the settings of a member from a JSON file. The listen addresses for callers and for the load balancer are
 // required if servesCallers is set. The error is of type config.FieldErrors.
 func ReadMember(file string, servesCallers bool) (member Member, err error) {
-	member = Member{LogLevel: "info"}
+	member = Member{LogLevel: "info", MaxRecordBytes: 1 << 20}
 	checker := checker{file: file}
 	if checker.read(&member) {
 		checker.member(member, servesCallers)
@@ -68,6 +70,7 @@
 		checker.add("peer_listen", "invalid address %q: must have the number of a port that other members can reach", member.PeerListen)
 	}
 	checker.address("store_address", member.StoreAddress, false)
+	checker.inRange("max_record_bytes", float64(member.MaxRecordBytes), 16<<10, 64<<20)
 	checker.inRange("memory_mb", member.MemoryMB, 32, 1<<20)
 	checker.inRange("cores", member.Cores, 0.01, 1024)
 	checker.duration("grace_period", member.GracePeriod, 500*time.Millisecond, time.Hour)
--- a/io/process/telemetry/events.go
+++ b/io/process/telemetry/events.go
@@ -113,6 +113,7 @@
 	{"item given up: it has no route", "job request configuration", "no route matches the item; its result is an error"},
 	{"item given up: its service has no engine", "request", "the time of the item's job is over, and no engine of its service takes requests; its result is an error"},
 	{"results not written yet", "writes error", "writing results failed; the same write is retried"},
+	{"results refused", "key bytes writes error", "the store refuses the results under the key for what they hold, which have so many bytes, in a transaction with so many writes; those of each job are written alone then, and after a refusal of these only now and then"},
 	{"results could not be encoded", "error", "results could not be encoded for the store; this is a bug"},
 	{"counter ignored", "key error omitted", "the record with the tokens that were accepted on a route could not be decoded; omitted is the number of such lines that were left out before it"},
 	{"batch record ignored", "key error omitted", "the record could not be decoded; omitted is the number of such lines that were left out before it"},
--- a/io/process/worker/worker.go
+++ b/io/process/worker/worker.go
@@ -86,6 +86,7 @@
 	worker.trials, worker.refusedClaims = map[poisonpill.Fingerprint]*trial{}, map[string]refusedClaim{}
 	worker.actions = make(chan action, 256)
 	worker.runner.Expect, worker.runner.Weight, worker.runner.Lane = worker.orderingWork, worker.accountWeight, worker.serviceOf
+	worker.runner.MaxChunkBytes = int(worker.Node.Settings.MaxRecordBytes)
 	worker.checkpoints = checkpointFiles{directory: worker.Node.Settings.DataDirectory, log: worker.Log}
 	worker.savedProgress = worker.checkpoints.open()
 	telemetry.JobsOwned.Set(func() float64 { return float64(worker.ownedJobs.Load()) })
@@ -435,7 +436,10 @@
 	if worker.committing || now.Sub(worker.committedAt) < commitInterval || !worker.runner.HasUncommittedResults() || !worker.stopping && !worker.runner.CommitDue(now) {
 		return
 	}
-	chunks := worker.runner.PrepareCommit()
+	chunks := worker.runner.PrepareCommit(now)
+	if len(chunks) == 0 {
+		return // the store refuses what is left
+	}
 	txn, err := worker.resultsTxn(chunks)
 	if err != nil {
 		worker.Log.Error("results could not be encoded", telemetry.Err(err))
@@ -500,6 +504,11 @@
 		for _, id := range dropped {
 			worker.drop(id, "its epoch has ended")
 		}
+	case errors.Is(err, store.ErrRefused):
+		worker.runner.RefuseCommit(time.Now())
+		for _, write := range txn.Writes {
+			worker.Log.Error("results refused", zap.String("key", write.Key), zap.Int("bytes", len(write.Value)), zap.Int("writes", len(txn.Writes)), telemetry.Err(err))
+		}
 	default:
 		// The same transaction is sent again. Its conditions allow only one of the two to take effect.
 		worker.Log.Warn("results not written yet", zap.Int("writes", len(txn.Writes)), telemetry.Err(err))
