worker: the progress of a job that is handed over is bounded by its encoded size

A job whose items had more progress than the store takes in one value could not be handed over: the store refuses the transaction, and on a retired VM the job stayed with a worker that starts nothing any more.

The items with the fewest events are now left out of the progress, and start anew at the next owner.

--- a/core/coordination/jobrunner/runner.go
+++ b/core/coordination/jobrunner/runner.go
@@ -495,18 +495,29 @@
 	return false
 }
 
-// UnfinishedProgress returns the progress of a job's unfinished items by item ID, for the next owner. It is nil for an
-// unknown job.
-func (runner *Runner) UnfinishedProgress(id string) (progress map[string]jobrecord.Progress) {
+// UnfinishedProgress returns the progress of a job's unfinished items by item ID, for the next owner. It is nil for an unknown job. If all of it is
+// longer than maxBytes when it is encoded, the items with the fewest events are left out, and start anew.
+func (runner *Runner) UnfinishedProgress(id string, maxBytes int) (progress map[string]jobrecord.Progress) {
 	job, ok := runner.jobs[id]
 	if !ok {
 		return nil
 	}
-	progress = map[string]jobrecord.Progress{}
+	var unfinished []*item
 	for _, item := range job.items {
 		if !item.done && item.progress.LastEventID != "" {
-			progress[item.ID] = item.progress
+			unfinished = append(unfinished, item)
+		}
+	}
+	slices.SortStableFunc(unfinished, func(a, b *item) int { return cmp.Compare(len(b.progress.Data), len(a.progress.Data)) })
+	progress = map[string]jobrecord.Progress{}
+	size := len("{}")
+	for _, item := range unfinished {
+		entry, err := jobrecord.Encode(map[string]jobrecord.Progress{item.ID: item.progress})
+		if err != nil || size+len(entry) > maxBytes {
+			continue
 		}
+		size += len(entry)
+		progress[item.ID] = item.progress
 	}
 	return progress
 }
--- a/core/coordination/jobrunner/runner_test.go
+++ b/core/coordination/jobrunner/runner_test.go
@@ -1,6 +1,7 @@
 package jobrunner
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -134,7 +135,13 @@
 				case "jobs":
 					fmt.Fprintln(&out, runner.IDs())
 				case "unfinished":
-					fmt.Fprintln(&out, runner.UnfinishedProgress(words[1]))
+					progress := runner.UnfinishedProgress(words[1], cmp.Or(runner.MaxChunkBytes, defaultChunkBytes))
+					value, err := jobrecord.Encode(progress)
+					must(t, err)
+					if runner.MaxChunkBytes > 0 && len(value) > runner.MaxChunkBytes {
+						t.Errorf("%s: the progress has %d bytes", data.Pos, len(value))
+					}
+					fmt.Fprintln(&out, progress)
 				default:
 					t.Fatalf("unknown command %q", words[0])
 				}
--- a/io/process/worker/handover.go
+++ b/io/process/worker/handover.go
@@ -125,7 +125,7 @@
 	if err != nil {
 		return err
 	}
-	progress, err := jobrecord.Encode(worker.runner.UnfinishedProgress(id))
+	progress, err := jobrecord.Encode(worker.runner.UnfinishedProgress(id, int(worker.Node.Settings.MaxRecordBytes)))
 	if err != nil {
 		return err
 	}
