ingress: a batch job that is too long for one record is refused with 413

Callers of a job whose record is longer than the store takes in one value got 400 with the store's own words, or, where the call went through a peer, 503 with a promise that it may be accepted later, as often as they asked.

The size of the encoded record is checked where it is built. The script long_job gets 413; the code before accepts the job or leaves the refusal to the store. Pages of results are bounded by their encoded size too, as callers accept pages of up to 1 MB.

--- a/io/process/ingress/jobs.go
+++ b/io/process/ingress/jobs.go
@@ -29,13 +29,16 @@
 	cancelTimeout         = 3 * time.Second // a cancellation has to be acknowledged within 4 s
 	commitRetryDelay      = 100 * time.Millisecond
 	outageRetryAfter      = time.Second
-	maxPageBytes          = 900 << 10 // result text on one page; callers accept pages of up to 1 MB
+	maxPageBytes          = 900 << 10 // encoded results on one page; callers accept pages of up to 1 MB
 	maxJobItems           = 200
 	defaultCompletionTime = 18 * time.Second
 	defaultJobLifetime    = 60 * time.Second
 	maxClockSkew          = 5 * time.Second // between the clocks of two VMs
 )
 
+// errJobTooLong is the cause of the error of a job whose record the store does not take.
+const errJobTooLong = errors.ConstError("the batch job is too long for one record")
+
 // serveSubmission creates the records of a batch job and answers 202 once they are in the store. A job that exists
 // already is accepted again.
 func (server *Server) serveSubmission(writer http.ResponseWriter, request *http.Request, call port.Call, account string, route routes.Route, path string, body []byte) {
@@ -57,6 +60,10 @@
 		return
 	}
 	txn, err := server.submissionTxn(call, account, request.Host, route, path, items)
+	if errors.Is(err, errJobTooLong) {
+		server.reject(writer, call, http.StatusRequestEntityTooLarge, 0, "not run: "+err.Error())
+		return
+	}
 	if err != nil {
 		server.reject(writer, call, http.StatusInternalServerError, 0, err.Error())
 		return
@@ -105,6 +112,9 @@
 	if err != nil {
 		return txn, err
 	}
+	if limit := server.Node.Settings.MaxRecordBytes; int64(len(jobValue)) > limit {
+		return txn, errors.Annotatef(errJobTooLong, "%d bytes, at most %d", len(jobValue), limit)
+	}
 	owner := jobrunner.PreferredOwner(job.ID, server.Node.Members(fleet.WorkerRole))
 	ownership, err := jobrecord.Encode(jobrecord.Ownership{Owner: owner, Submitted: now, Account: account})
 	if err != nil {
@@ -201,7 +211,7 @@
 	}
 	page, size := []jobrecord.Result{}, 0
 	for _, result := range view.Results[min(call.After, len(view.Results)):] {
-		if size += len(result.Text); size > maxPageBytes && len(page) > 0 {
+		if size += result.EncodedBytes(); size > maxPageBytes && len(page) > 0 {
 			break
 		}
 		page = append(page, result)
