store: peers are told that the service refuses a call

A process whose calls are relayed sent a transaction that the service refuses for what it holds through four peers each time, and again for as long as it existed: the peer passed the refusal on as "not executed".

TestRefusalIsRelayed on the code before: four calls to the service, and an error without the cause ErrRefused. Now one call. Members that don't know the new field go on as before.

--- a/io/store/relay.go
+++ b/io/store/relay.go
@@ -40,6 +40,7 @@
 	Lease    int64  `json:"lease,omitempty"`
 	Cause    string `json:"cause,omitempty"` // cause of the error, one of causes; empty if the call succeeded
 	Error    string `json:"error,omitempty"`
+	Refused  bool   `json:"refused,omitempty"` // the error has the cause ErrRefused too
 
 	// Set for a feed call: the age of the change feed and the time spent waiting for changes, both in nanoseconds.
 	Age    time.Duration `json:"age,omitempty"`
@@ -94,7 +95,7 @@
 		response, err = relay.callDirectly(ctx, call, nil)
 	}
 	if err != nil {
-		response.Error, response.Cause = err.Error(), string(ErrOutcomeUnknown)
+		response.Error, response.Cause, response.Refused = err.Error(), string(ErrOutcomeUnknown), errors.Is(err, ErrRefused)
 		for _, cause := range causes {
 			if errors.Is(err, cause) {
 				response.Cause = string(cause)
@@ -145,7 +146,7 @@
 	for range relayAttempts {
 		var relayErr error
 		response, relayErr = relay.relayCall(ctx, call)
-		if relayErr == nil || !errors.Is(relayErr, ErrNotExecuted) {
+		if relayErr == nil || !isUnavailable(relayErr) || !errors.Is(relayErr, ErrNotExecuted) {
 			return response, relayErr
 		}
 		if err == nil {
@@ -255,9 +256,13 @@
 		return response, errors.WithType(err, ErrOutcomeUnknown)
 	}
 	for _, cause := range causes {
-		if response.Cause == string(cause) {
-			return response, errors.Annotate(cause, response.Error)
+		if response.Cause != string(cause) {
+			continue
 		}
+		if response.Refused {
+			return response, errors.WithType(errors.Annotate(ErrRefused, response.Error), cause)
+		}
+		return response, errors.Annotate(cause, response.Error)
 	}
 	return response, nil
 }
--- a/io/store/relay_test.go
+++ b/io/store/relay_test.go
@@ -131,3 +131,26 @@
 		}
 	})
 }
+
+// refusingDriver is a Driver whose service refuses all transactions for what they hold.
+type refusingDriver struct {
+	Driver
+
+	commits int
+}
+
+func (driver *refusingDriver) Commit(context.Context, Txn) (revision int64, current []Item, err error) {
+	driver.commits++
+	return 0, nil, errors.WithType(errors.WithType(errors.New("status 400"), ErrRefused), ErrNotExecuted)
+}
+
+// TestRefusalIsRelayed guards against transactions that are sent again and again through peers, although the service refuses them for what they hold.
+func TestRefusalIsRelayed(t *testing.T) {
+	refusing := &refusingDriver{}
+	peer := &Relay{Direct: refusing}
+	relay := &Relay{Direct: &faultyDriver{rejecting: true}, CallPeer: func(ctx context.Context, call []byte) (response []byte, err error) { return peer.Serve(ctx, call), nil }}
+	_, _, err := relay.Commit(t.Context(), Txn{Writes: []Write{{Key: "k"}}})
+	if !errors.Is(err, ErrRefused) || !errors.Is(err, ErrNotExecuted) || refusing.commits != 1 {
+		t.Errorf("the error after %d calls to the service is %v, want ErrRefused after one", refusing.commits, err)
+	}
+}
--- a/io/store/store.go
+++ b/io/store/store.go
@@ -22,8 +22,7 @@
 	ErrNoLease        = errors.ConstError("lease has ended")
 )
 
-// ErrRefused is a cause, beside ErrNotExecuted, of the error of a call that the store can be reached for and never executes. Peers are told
-// ErrNotExecuted only.
+// ErrRefused is a cause, beside ErrNotExecuted, of the error of a call that the store can be reached for and never executes.
 const ErrRefused = errors.ConstError("store refuses the call")
 
 // Item is a key with its value, or the removal of a key.
