jobrunner: results that have waited longest are committed first

A commit holds the results of ten jobs at most, and took them in the order of the jobs' identifiers: while ten jobs had results at each commit, those of the others were not written.

TestBusyJobsHoldUpNoResults, 30 jobs with a result each at every commit: with the former order the results of the last jobs have waited for all 12 commits; now none waits for more than three.

--- a/core/coordination/jobrunner/collect_test.go
+++ b/core/coordination/jobrunner/collect_test.go
@@ -58,3 +58,38 @@
 		})
 	}
 }
+
+// TestBusyJobsHoldUpNoResults guards against results that are not committed for as long as ten other jobs have some at each commit.
+func TestBusyJobsHoldUpNoResults(t *testing.T) {
+	runner := &Runner{}
+	const jobs, rounds = 3 * maxCommitChunks, 12
+	for number := range jobs {
+		runner.Add(jobrecord.View{Job: newJob(string(rune('A'+number)), time.Hour, rounds), Ownership: jobrecord.VersionedOwnership{Epoch: 1}}, 3, nil)
+	}
+	waiting := map[string]int{} // since which round, by job
+	for round := range rounds {
+		for _, id := range runner.IDs() { // an item of each job finishes
+			for _, item := range runner.jobs[id].items {
+				if !item.done {
+					runner.RecordOutcome(start, ItemRun{Job: runner.jobs[id].Job, Item: item.Item}, Finished, jobrecord.Progress{Data: []string{"x"}})
+					break
+				}
+			}
+			if _, ok := waiting[id]; !ok {
+				waiting[id] = round
+			}
+		}
+		for _, write := range runner.PrepareCommit(start) {
+			if rounds := round - waiting[write.Job]; rounds > jobs/maxCommitChunks {
+				t.Errorf("results of job %s have waited for %d commits", write.Job, rounds)
+			}
+			delete(waiting, write.Job)
+		}
+		runner.ApplyCommit()
+	}
+	for id, since := range waiting {
+		if rounds-since > jobs/maxCommitChunks+1 {
+			t.Errorf("results of job %s have waited for %d commits and are not committed", id, rounds-since)
+		}
+	}
+}
--- a/core/coordination/jobrunner/runner.go
+++ b/core/coordination/jobrunner/runner.go
@@ -95,6 +95,8 @@
 type pendingResult struct {
 	jobrecord.Result
 
+	number int // Runner.resultCount when it was added
+
 	size int  // when it is encoded, at most
 	text int  // size of the encoded text
 	part int  // number of the part, from 0
@@ -127,6 +129,7 @@
 	laneCount    int             // calls of ResetLanes
 	jobs         map[string]*job // by ID
 	pendingSince time.Time       // since when the oldest uncommitted results wait; zero if there are none
+	resultCount  int             // results added so far
 	pause        time.Duration   // see Pause
 	inFlight     []ChunkWrite    // chunks of the current commit, which is sent again unchanged until its result is known
 }
@@ -342,8 +345,9 @@
 	if maxBytes := runner.maxChunkBytes(); result.EncodedBytes() > jobrecord.MaxResultBytes(maxBytes) {
 		parts = result.Split(maxBytes)
 	}
+	runner.resultCount++
 	for number, part := range parts {
-		job.pending = append(job.pending, pendingResult{Result: part, size: part.EncodedBytes(), text: part.TextBytes(), part: number, more: number+1 < len(parts)})
+		job.pending = append(job.pending, pendingResult{Result: part, number: runner.resultCount, size: part.EncodedBytes(), text: part.TextBytes(), part: number, more: number+1 < len(parts)})
 	}
 }
 
@@ -374,10 +378,9 @@
 	}
 	runner.pendingSince = time.Time{}
 	size := 0
-	for _, id := range runner.IDs() {
-		job := runner.jobs[id]
-		if len(job.pending) == 0 || now.Before(job.commitAfter) || len(runner.inFlight) == maxCommitChunks {
-			continue
+	for _, job := range runner.committable(now) {
+		if len(runner.inFlight) == maxCommitChunks {
+			break
 		}
 		if job.refusals > 0 && len(runner.inFlight) > 0 {
 			continue // its chunk is committed alone, so that a refusal concerns no other
@@ -386,14 +389,27 @@
 		if size += textBytes; size > maxCommitBytes && len(runner.inFlight) > 0 {
 			break
 		}
-		runner.inFlight = append(runner.inFlight, ChunkWrite{Job: id, Epoch: job.epoch, Number: job.nextChunk, Chunk: chunk})
+		runner.inFlight = append(runner.inFlight, ChunkWrite{Job: job.ID, Epoch: job.epoch, Number: job.nextChunk, Chunk: chunk})
 		if job.refusals > 0 {
 			break
 		}
 	}
+	slices.SortFunc(runner.inFlight, func(a, b ChunkWrite) int { return cmp.Compare(a.Job, b.Job) })
 	return runner.inFlight
 }
 
+// committable returns the jobs with results that may be committed now. Those whose results have waited longest come first, so that a few busy
+// jobs don't hold up the others.
+func (runner *Runner) committable(now time.Time) (jobs []*job) {
+	for _, job := range runner.jobs {
+		if len(job.pending) > 0 && !now.Before(job.commitAfter) {
+			jobs = append(jobs, job)
+		}
+	}
+	slices.SortFunc(jobs, func(a, b *job) int { return cmp.Compare(a.pending[0].number, b.pending[0].number) })
+	return jobs
+}
+
 // nextChunkOf returns the next chunk of a job with pending results, and the size of its encoded texts. If it has several results, these have at
 // most maxBytes and their texts at most maxTextBytes when they are encoded.
 func (job *job) nextChunkOf(maxBytes, maxTextBytes int) (chunk jobrecord.Chunk, textBytes int) {
