upstream: a connection carries each request ID once

Operators of systems like this one saw callers that were told "not run, try again" for requests which an engine had run (REFUSED), or requests that ran twice (TWICE): a faulty engine wrote an earlier refusal once more on a kept connection.

Cause here: a response is taken for that of a request by its ID, and the same request may come to an engine again on the same connection, after a refusal. The earlier refusal, if it is written once more after the request was sent, passes for the answer.

A request now goes on a connection that has not carried its ID, so that on each connection a response with an ID can belong to one request only. A connection is closed after 512 requests, so that it need not remember more.

Not measured: how many more connections are opened where items come back to engines that refused them.

--- a/io/transport/upstream/pool.go
+++ b/io/transport/upstream/pool.go
@@ -15,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 
 	"cowslipway/io/port"
@@ -33,6 +34,7 @@
 	maxInlineBytes    = 16 << 10        // size of a request that fits a socket's send buffer and is written synchronously
 	defaultIdleLimit  = 4 * time.Second // how long an idle connection is reused if the engine sends no limit
 	idleMargin        = time.Second     // reuse of an idle connection ends this long before the engine would close it
+	maxCarried        = 512             // requests that a connection carries; it is closed then
 	maxIdlePerAddress = 32              // an engine runs fewer requests of one process at once
 	maxResponseHeads  = 4               // informational responses and the final one
 	maxHeadBytes      = 64 << 10        // read while the heads of a response are incomplete
@@ -100,6 +102,13 @@
 	idleSince   time.Time     // time at which it last became idle
 	idleLimit   time.Duration // it is not reused after being idle for this long
 	answered    bool          // the engine has responded to a request on it before it last became idle
+	carried     []uint64      // hashes of the IDs of the requests that it carried
+}
+
+// hasCarried reports whether the connection carried a request with an ID. A response with this ID that is still to come on it may belong to that
+// request.
+func (connection *connection) hasCarried(id string) bool {
+	return id != "" && slices.Contains(connection.carried, xxhash.Sum64String(id))
 }
 
 // Request is a request that is sent to an engine once.
@@ -169,6 +178,7 @@
 		exchange.startWatch()
 	}
 	exchange.stopCloseOnDone = context.AfterFunc(ctx, connection.reset)
+	connection.carried = append(connection.carried, xxhash.Sum64String(request.Attempt.RequestID))
 	message := request.encode(pool.Engines)
 	if len(message) <= maxInlineBytes {
 		_, err = connection.Write(message)
@@ -212,10 +222,10 @@
 	return buffer.Bytes()
 }
 
-// connect returns an idle connection to address, or opens a new one if there is none.
-func (pool *Pool) connect(ctx context.Context, address string) (found *connection, err error) {
+// connect returns an idle connection to address that has not carried a request with the given ID, or opens a new one if there is none.
+func (pool *Pool) connect(ctx context.Context, address, requestID string) (found *connection, err error) {
 	for {
-		found = pool.takeIdle(address)
+		found = pool.takeIdle(address, requestID)
 		if found == nil {
 			break
 		}
@@ -270,21 +280,30 @@
 	_ = connection.Close()
 }
 
-// takeIdle removes an idle connection from the pool and returns it, or nil if there is none. It closes expired connections.
-func (pool *Pool) takeIdle(address string) (found *connection) {
+// takeIdle removes an idle connection that has not carried a request with the given ID from the pool and returns it, or nil if there is none. It
+// closes expired connections.
+func (pool *Pool) takeIdle(address, requestID string) (found *connection) {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	idle := pool.idle[address]
-	for len(idle) > 0 {
-		found = idle[len(idle)-1] // the most recently used is the least likely to have been closed by the engine
-		idle = idle[:len(idle)-1]
-		pool.idle[address] = idle
-		if time.Since(found.idleSince) < found.idleLimit {
-			return found
+	for index, candidate := range slices.Backward(idle) { // the most recently used is the least likely to have been closed by the engine
+		switch {
+		case time.Since(candidate.idleSince) >= candidate.idleLimit:
+			_ = candidate.Close()
+		case candidate.hasCarried(requestID):
+			continue
+		default:
+			found = candidate
+		}
+		idle = slices.Delete(idle, index, index+1)
+		if found != nil {
+			break
 		}
-		_ = found.Close()
 	}
-	return nil
+	if len(idle) < len(pool.idle[address]) {
+		pool.idle[address] = idle
+	}
+	return found
 }
 
 // reusable reports whether an idle connection is open and the engine has sent no unrequested bytes on it.
@@ -395,7 +414,7 @@
 		return
 	}
 	exchange.ended = true
-	if closing || exchange.connection.reader.Buffered() > 0 {
+	if closing || exchange.connection.reader.Buffered() > 0 || len(exchange.connection.carried) >= maxCarried {
 		_ = exchange.connection.Close()
 		return
 	}
--- a/io/transport/upstream/verify.go
+++ b/io/transport/upstream/verify.go
@@ -26,7 +26,7 @@
 // connectVerified returns a connection for a request to the incarnation that started at the time which the request names. A connection ends with the incarnation
 // that accepted it, so what the engine has reported on it holds for all requests that it carries.
 func (pool *Pool) connectVerified(ctx context.Context, request Request) (found *connection, verified Verification, err error) {
-	if found, err = pool.connect(ctx, request.Address); err != nil || !request.GoesOn || request.StartUnixMilli == 0 {
+	if found, err = pool.connect(ctx, request.Address, request.Attempt.RequestID); err != nil || !request.GoesOn || request.StartUnixMilli == 0 {
 		return found, Unverified, err
 	}
 	verified = VerifiedConnection
