upstream: an informational response is not the final one

Beside it, an engine that sent five informational responses with the request's ID and its signature, and closed, gave the caller of a request that is not idempotent a 200 with an empty body.

Cause: readHead reads four heads at most, and took the last one for the final response whatever its status.

A response is final only if its status is; too many informational ones, and 101, are errors with an unknown outcome.

--- a/io/transport/upstream/pool.go
+++ b/io/transport/upstream/pool.go
@@ -360,10 +360,15 @@
 	tracker := exchange.connection.tracker
 	tracker.readingHead, tracker.headBytes = true, 0
 	defer func() { tracker.readingHead = false }()
-	for range maxResponseHeads {
+	for head := 1; ; head++ {
 		exchange.Response, err = http.ReadResponse(exchange.connection.reader, sentRequest) //nolint:bodyclose // Abort and Release end the exchange
-		if err != nil {
+		switch {
+		case err != nil:
 			return err
+		case exchange.Response.StatusCode == http.StatusSwitchingProtocols:
+			return errors.New("the engine switches protocols without being asked to")
+		case exchange.Response.StatusCode < http.StatusOK && head == maxResponseHeads:
+			return errors.Errorf("no final response after %d informational ones", head)
 		}
 		if exchange.Response.StatusCode >= http.StatusOK {
 			break
--- a/io/transport/upstream/response_test.go
+++ b/io/transport/upstream/response_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -91,3 +92,25 @@
 		exchange.Discard()
 	}
 }
+
+// TestInformationalResponsesOnly guards against an informational response that is taken for the final one, which would be passed on with an empty body.
+func TestInformationalResponsesOnly(t *testing.T) {
+	for _, code := range []int{100, 101, 102, 103} {
+		for _, count := range []int{1, maxResponseHeads - 1, maxResponseHeads, maxResponseHeads + 1} {
+			address := startEngine(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+				for range count {
+					_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d Informational\r\nRequest-Id: x\r\n\r\n", code)
+				}
+				return false
+			})
+			pool := &Pool{DialTimeout: time.Second, Engines: refusingEngines{}}
+			exchange, err := pool.Send(t.Context(), requestFor(address, "x"))
+			if err == nil {
+				t.Errorf("%d times %d: got the status %d", count, code, exchange.Response.StatusCode)
+				exchange.Abort()
+			} else if !errors.Is(err, ErrOutcomeUnknown) {
+				t.Errorf("%d times %d: %v, want an unknown outcome", count, code, err)
+			}
+		}
+	}
+}
