upstream: text that is no event ends the attempt

Cause here: EventReader passed on any block of lines that ends with a blank line. A block without an ID has no order to break, and the worker left it out and took the end of the stream for the end of the output.

Errors by their status were discarded before too.

A block without an ID and data may only have comments and the fields event and retry, and beside them each line must be a field; data without an ID after an event with one ends the attempt. The stream then goes on at another engine, or is broken off.

--- a/io/process/ingress/forward.go
+++ b/io/process/ingress/forward.go
@@ -61,6 +61,9 @@
 		if event.ID != "" && !upstream.Follows(online.lastEventID, event.ID) {
 			return errors.Errorf("event %q after event %q", event.ID, online.lastEventID)
 		}
+		if event.ID == "" && event.HasData() && online.lastEventID != "" {
+			return errors.Errorf("an event without an ID after event %q", online.lastEventID)
+		}
 		pace.Received(time.Now())
 		if err = watchdog.eventReceived(); err != nil {
 			return err
--- a/io/process/worker/item.go
+++ b/io/process/worker/item.go
@@ -170,6 +170,9 @@
 			return jobrunner.Interrupted, progress, err
 		}
 		idleTimer.Reset(idleTimeout)
+		if event.ID == "" && event.HasData() {
+			return jobrunner.Interrupted, progress, errors.Errorf("an event without an ID after event %q", progress.LastEventID)
+		}
 		if event.ID == "" {
 			if time.Since(outputAt) > outputTimeout {
 				return jobrunner.Interrupted, progress, errors.Errorf("no output for %s", outputTimeout)
--- a/io/transport/upstream/events.go
+++ b/io/transport/upstream/events.go
@@ -6,6 +6,7 @@
 	"io"
 	"strconv"
 	"strings"
+	"unicode"
 
 	"github.com/juju/errors"
 )
@@ -14,12 +15,19 @@
 // open. Events of language models have a few hundred bytes.
 const maxEventBytes = 1 << 20
 
+const maxQuotedBytes = 80 // of a line in an error
+
 // Event is a complete server-sent event.
 type Event struct {
 	Raw []byte // bytes of the event with its final blank line; valid until the next call of EventReader.Next
 	ID  string // empty if the event has none
 }
 
+// HasData reports whether the event has data lines.
+func (event Event) HasData() bool {
+	return bytes.HasPrefix(event.Raw, []byte("data:")) || bytes.Contains(event.Raw, []byte("\ndata:"))
+}
+
 // Data returns the event's data lines, joined with newlines as the format of server-sent events specifies.
 func (event Event) Data() string {
 	var data []string
@@ -69,10 +77,16 @@
 	}
 }
 
-// complete returns the event that has been read, unless there were too many events without ID and data.
+// complete returns the event that has been read, unless it is none or there were too many events without ID and data.
 func (reader *EventReader) complete() (event Event, err error) {
 	event = Event{Raw: reader.raw, ID: eventID(reader.raw)}
-	if event.ID != "" || bytes.HasPrefix(event.Raw, []byte("data:")) || bytes.Contains(event.Raw, []byte("\ndata:")) {
+	isOutput := event.ID != "" || event.HasData()
+	for line := range bytes.SplitSeq(event.Raw, []byte("\n")) {
+		if line = bytes.TrimSuffix(line, []byte("\r")); !isField(line, isOutput) {
+			return Event{}, errors.Errorf("the stream has %q, which is no field of an event", line[:min(len(line), maxQuotedBytes)])
+		}
+	}
+	if isOutput {
 		reader.empty = 0
 		return event, nil
 	}
@@ -82,6 +96,19 @@
 	return event, nil
 }
 
+// isField reports whether a line may stand in an event. Beside an ID or data, fields of any name may stand. Other text, such as the head of a response
+// or that of an error, comes from an engine that has failed.
+func isField(line []byte, besideOutput bool) bool {
+	name, _, hasColon := bytes.Cut(line, []byte(":"))
+	switch string(name) {
+	case "", "id", "data", "event", "retry": // without a name, it is a comment or the end of the event
+		return true
+	}
+	return besideOutput && hasColon && !bytes.ContainsFunc(name, func(char rune) bool {
+		return char != '-' && char != '_' && !unicode.IsLetter(char) && !unicode.IsDigit(char)
+	})
+}
+
 // eventID returns the value of the first id field in raw, or an empty string.
 func eventID(raw []byte) string {
 	for line := range bytes.SplitSeq(raw, []byte("\n")) {
--- a/io/transport/upstream/events_test.go
+++ b/io/transport/upstream/events_test.go
@@ -35,6 +35,34 @@
 	}
 }
 
+// TestTextThatIsNoEvent guards against the head of a response, or the text of an error, that is passed on as an event.
+func TestTextThatIsNoEvent(t *testing.T) {
+	const first = "id: 1\ndata: a\n\n"
+	for text, want := range map[string]bool{
+		"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n":  false,
+		"error: out of memory\n\n":                                       false,
+		"{\"error\": \"out of memory\"}\n\n":                             false,
+		"<html>\n\n":                                                     false,
+		"HTTP/1.1 500 Internal Server Error\r\nid: 2\r\ndata: b\r\n\r\n": false,
+		"{\"error\": 1}\nid: 2\ndata: b\n\n":                             false,
+		"weight-versions: 3\nid: 2\ndata: b\n\n":                         true,
+		": comment\n\n":                                                  true,
+		"retry: 3000\n\n":                                                true,
+		"event: end\n\n":                                                 true,
+		"data\nid: 2\n\n":                                                true,
+		"\n":                                                             true,
+	} {
+		events := NewEventReader(strings.NewReader(first + text))
+		if event, err := events.Next(); err != nil || event.ID != "1" {
+			t.Fatalf("got event %q before %q: %v", event.Raw, text, err)
+		}
+		event, err := events.Next()
+		if isEvent := err == nil && string(event.Raw) == text; isEvent != want {
+			t.Errorf("%q: passed on: %t, want %t: %v", text, isEvent, want, err)
+		}
+	}
+}
+
 // TestEndlessEvents guards against reading bytes without end that are no events: one event that does not end, and events that have neither
 // an ID nor data.
 func TestEndlessEvents(t *testing.T) {
