engine: a response that names another request is no answer

In the product's own path, a caller could get the refusal of an earlier request while the engine ran its own: the engine writes a response once more on a kept connection, and no ID was compared.

TestRefusalOfAnotherRequest, with an engine that answers on its socket: the code before returns the status 503 for a request that runs. Now it is an error after which the request may have run. Engines that name no request, and a request that comes again under its ID, can't be told from the former.

--- a/io/protocol/engine/client.go
+++ b/io/protocol/engine/client.go
@@ -82,7 +82,25 @@
 	if request.LastEventID >= 0 {
 		httpRequest.Header.Set(lastEventIDHeader, strconv.Itoa(request.LastEventID))
 	}
-	return client.send(httpRequest)
+	response, err = client.send(httpRequest)
+	if err != nil {
+		return nil, err
+	}
+	if err = belongs(response, request.RequestID); err != nil {
+		_ = response.Body.Close() // with bytes unread, this closes the connection
+		client.HTTP.CloseIdleConnections()
+		return nil, err
+	}
+	return response, nil
+}
+
+// belongs returns an error if a response is that to another request. Engines that name the request do so in each response, and an earlier
+// response may be written once more on a kept connection.
+func belongs(response *http.Response, requestID string) (err error) {
+	if named := response.Header.Get(requestIDHeader); named != "" && named != requestID {
+		return errors.Errorf("the response belongs to request %q", named)
+	}
+	return nil
 }
 
 // send sends httpRequest. The cause of its error is ErrNotSent if no connection could be established.
