engine: a response that switches protocols is no answer

In the product's own path, the status 101 was passed on to the caller, who had asked for no other protocol, with whatever followed as its body.

TestProtocolIsNotSwitched: status 101 on the code before, an error now.

--- a/io/protocol/engine/client.go
+++ b/io/protocol/engine/client.go
@@ -94,9 +94,12 @@
 	return response, nil
 }
 
-// belongs returns an error if a response is that to another request. Engines that name the request do so in each response, and an earlier
+// belongs returns an error if a response is not the final one to a request. Engines that name the request do so in each response, and an earlier
 // response may be written once more on a kept connection.
 func belongs(response *http.Response, requestID string) (err error) {
+	if response.StatusCode < http.StatusOK {
+		return errors.Errorf("status %d is no final response", response.StatusCode)
+	}
 	if named := response.Header.Get(requestIDHeader); named != "" && named != requestID {
 		return errors.Errorf("the response belongs to request %q", named)
 	}
--- a/io/protocol/engine/client_test.go
+++ b/io/protocol/engine/client_test.go
@@ -69,3 +69,16 @@
 		t.Errorf("got%s, want 503, an error and 200", statuses)
 	}
 }
+
+// TestProtocolIsNotSwitched guards against a response that only switches protocols and is passed on as the answer, with an empty body.
+func TestProtocolIsNotSwitched(t *testing.T) {
+	client := startEngine(t, func(conn net.Conn, _ *http.Request, _ int) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 101 Switching Protocols\r\n\r\n")
+		_ = conn.Close()
+	})
+	response, err := client.Do(t.Context(), Request{RequestID: "a", Method: http.MethodPost, Path: "/", LastEventID: -1})
+	if err == nil {
+		_ = response.Body.Close()
+		t.Errorf("got status %d, want an error", response.StatusCode)
+	}
+}
