engine: text that is no event ends a stream of the product's own path

An error's text, or its head, was passed on in the middle of a stream there too, as an event is any block of lines up to a blank one. The check of the other path moves to a package of its own and serves both.

TestTextThatIsNoEvent, on the code before: each of the four texts is passed on as an event.

--- a/io/protocol/engine/events.go
+++ b/io/protocol/engine/events.go
@@ -6,6 +6,8 @@
 	"io"
 
 	"github.com/juju/errors"
+
+	"cowslipway/io/protocol/eventstream"
 )
 
 const maxEventBytes = 1 << 20
@@ -27,7 +29,7 @@
 }
 
 // Next returns the next event, which is valid until the next call. It returns io.EOF if the stream ends between two events
-// and io.ErrUnexpectedEOF if it ends within one.
+// and io.ErrUnexpectedEOF if it ends within one. Text that is no event is an error.
 func (reader *EventReader) Next() (event []byte, err error) {
 	reader.buffer = reader.buffer[:0]
 	atLineStart := true // false after a partial line, whose remainder may be only "\n" without being a blank line
@@ -49,7 +51,7 @@
 			return nil, err
 		}
 		if blank && len(reader.buffer) > len(line) {
-			return reader.buffer, nil
+			return reader.buffer, eventstream.Check(reader.buffer)
 		}
 	}
 }
--- a/io/protocol/engine/events_test.go
+++ b/io/protocol/engine/events_test.go
@@ -18,3 +18,16 @@
 		}
 	}
 }
+
+// TestTextThatIsNoEvent guards against the head of a response, or the text of an error, that is passed on in the middle of a stream.
+func TestTextThatIsNoEvent(t *testing.T) {
+	for _, text := range []string{"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n", "error: out of memory\n\n", "{\"error\": 1}\n\n", "<html>\n\n"} {
+		events := NewEventReader(strings.NewReader("data: a\n\n" + text))
+		if event, err := events.Next(); err != nil {
+			t.Fatalf("got event %q before %q: %v", event, text, err)
+		}
+		if event, err := events.Next(); err == nil {
+			t.Errorf("got event %q, want an error", event)
+		}
+	}
+}
--- a/io/transport/upstream/events.go
+++ b/io/transport/upstream/events.go
@@ -6,17 +6,16 @@
 	"io"
 	"strconv"
 	"strings"
-	"unicode"
 
 	"github.com/juju/errors"
+
+	"cowslipway/io/protocol/eventstream"
 )
 
 // maxEventBytes limits the size of an event, and of a sequence of events without ID and data, such as comments that keep a connection
 // open. Events of language models have a few hundred bytes.
 const maxEventBytes = 1 << 20
 
-const maxQuotedBytes = 80 // of a line in an error
-
 // Event is a complete server-sent event.
 type Event struct {
 	Raw []byte // bytes of the event with its final blank line; valid until the next call of EventReader.Next
@@ -80,13 +79,10 @@
 // complete returns the event that has been read, unless it is none or there were too many events without ID and data.
 func (reader *EventReader) complete() (event Event, err error) {
 	event = Event{Raw: reader.raw, ID: eventID(reader.raw)}
-	isOutput := event.ID != "" || event.HasData()
-	for line := range bytes.SplitSeq(event.Raw, []byte("\n")) {
-		if line = bytes.TrimSuffix(line, []byte("\r")); !isField(line, isOutput) {
-			return Event{}, errors.Errorf("the stream has %q, which is no field of an event", line[:min(len(line), maxQuotedBytes)])
-		}
+	if err = eventstream.Check(event.Raw); err != nil {
+		return Event{}, err
 	}
-	if isOutput {
+	if event.ID != "" || event.HasData() {
 		reader.empty = 0
 		return event, nil
 	}
@@ -96,19 +92,6 @@
 	return event, nil
 }
 
-// isField reports whether a line may stand in an event. Beside an ID or data, fields of any name may stand. Other text, such as the head of a response
-// or that of an error, comes from an engine that has failed.
-func isField(line []byte, besideOutput bool) bool {
-	name, _, hasColon := bytes.Cut(line, []byte(":"))
-	switch string(name) {
-	case "", "id", "data", "event", "retry": // without a name, it is a comment or the end of the event
-		return true
-	}
-	return besideOutput && hasColon && !bytes.ContainsFunc(name, func(char rune) bool {
-		return char != '-' && char != '_' && !unicode.IsLetter(char) && !unicode.IsDigit(char)
-	})
-}
-
 // eventID returns the value of the first id field in raw, or an empty string.
 func eventID(raw []byte) string {
 	for line := range bytes.SplitSeq(raw, []byte("\n")) {
